--- /dev/null
+++ b/src/bookkeeping/books.cpp
@@ -0,0 +1,272 @@
+#include "bookkeeping/books.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace walkford {
+
+Books::Books(Names& n, std::vector<Team> teams) : names(n), teams_(std::move(teams)) {
+    used_.resize(teams_.size());
+}
+
+void Books::set_kinds(const std::vector<Kind>& kinds) { kinds_ = kinds; }
+
+const Kind* Books::kind(Id id) const {
+    for (const Kind& k : kinds_) {
+        if (k.id == id) return &k;
+    }
+    return nullptr;
+}
+
+Id Books::find_job(const std::string& id) const {
+    auto it = job_ids_.find(id);
+    return it == job_ids_.end() ? kNone : it->second;
+}
+
+Id Books::add_job(const JobView& view, Ms now) {
+    Id id;
+    if (!free_jobs_.empty()) {
+        id = free_jobs_.back();
+        free_jobs_.pop_back();
+        jobs[id] = Job{};
+    } else {
+        id = static_cast<Id>(jobs.size());
+        jobs.emplace_back();
+    }
+    Job& j = jobs[id];
+    j.spec = view.record.spec;
+    j.stamp = view.stamp;
+    j.born = view.born;
+    j.cancelled = view.record.cancelled;
+    j.known_since = now;
+    j.waiting_since = now;
+    j.chunks.resize((j.spec.tasks + j.spec.chunk - 1) / j.spec.chunk);
+    job_ids_[j.spec.id] = id;
+    return id;
+}
+
+void Books::remove_job(Id id) {
+    Job& j = jobs[id];
+    for (std::uint32_t c = 0; c < j.chunks.size(); ++c) {
+        if (!j.chunks[c]) continue;
+        for (std::uint32_t i = 0; i < j.chunks[c]->tasks.size(); ++i) {
+            unseat({id, c * j.spec.chunk + i});
+        }
+    }
+    for (std::uint32_t c = 0; c < j.chunks.size(); ++c) dirty.erase({id, c});
+    job_ids_.erase(j.spec.id);
+    jobs[id] = Job{};
+    jobs[id].alive = false;
+    free_jobs_.push_back(id);
+    for (Machine& m : machines) m.error_jobs.erase(id);
+}
+
+Id Books::find_machine(const std::string& name) const {
+    auto it = machine_ids_.find(name);
+    return it == machine_ids_.end() ? kNone : it->second;
+}
+
+Id Books::add_machine(const std::string& name, Id kind, Id zone, bool spot, Ms now) {
+    Id id = find_machine(name);
+    if (id != kNone) return id;
+    id = static_cast<Id>(machines.size());
+    Machine m;
+    m.name = name;
+    m.kind = kind;
+    m.zone = zone;
+    m.spot = spot;
+    m.known_since = now;
+    m.rented_at = now;
+    m.idle_since = now;
+    machines.push_back(std::move(m));
+    machine_ids_[name] = id;
+    return id;
+}
+
+void Books::forget_machine(Id id) {
+    Machine& m = machines[id];
+    m.gone = true;
+    m.held = false;
+    m.images.clear();
+    machine_ids_.erase(m.name);
+}
+
+std::uint32_t Books::chunk_size(const JobSpec& spec, std::uint32_t index) const {
+    return std::min(spec.chunk, spec.tasks - index * spec.chunk);
+}
+
+Chunk& Books::chunk(Id job, std::uint32_t index) {
+    Job& j = jobs[job];
+    auto& slot = j.chunks.at(index);
+    if (!slot) {
+        slot = std::make_unique<Chunk>();
+        slot->tasks.resize(chunk_size(j.spec, index));
+    }
+    return *slot;
+}
+
+Chunk& Books::chunk_of(TaskRef ref) { return chunk(ref.job, ref.task / jobs[ref.job].spec.chunk); }
+
+Task& Books::task(TaskRef ref) {
+    return chunk_of(ref).tasks.at(ref.task % jobs[ref.job].spec.chunk);
+}
+
+void Books::place(TaskRef ref, Id machine, std::uint32_t attempt, Ms now) {
+    Job& j = jobs[ref.job];
+    Task& t = task(ref);
+    t.attempt = attempt;
+    t.machine = machine;
+    t.phase = Phase::placed;
+    t.state = TaskState::unknown;
+    t.inherited = false;
+    t.halting = false;
+    t.excused = false;
+    t.halt_told = -1;
+    t.running_since = -1;
+    t.since = now;
+    Machine& m = machines[machine];
+    m.used += j.spec.each;
+    m.tasks.insert(ref);
+    if (j.spec.image != kNone) m.images[j.spec.image] = now;
+    ++j.placed;
+    ++j.zones[m.zone];
+    if (j.spec.team < used_.size()) used_[j.spec.team] += j.spec.each;
+    touch(ref);
+}
+
+void Books::unseat(TaskRef ref) {
+    Task& t = task(ref);
+    if (t.machine == kNone) return;
+    Job& j = jobs[ref.job];
+    Machine& m = machines[t.machine];
+    m.used -= j.spec.each;
+    m.tasks.erase(ref);
+    if (m.tasks.empty()) m.used = {};
+    --j.placed;
+    if (--j.zones[m.zone] == 0) j.zones.erase(m.zone);
+    if (j.spec.team < used_.size()) used_[j.spec.team] -= j.spec.each;
+    t.machine = kNone;
+    t.halting = false;
+    touch(ref);
+}
+
+void Books::requeue(TaskRef ref, Ms now) {
+    unseat(ref);
+    Task& t = task(ref);
+    if (t.phase == Phase::done || t.phase == Phase::idle) return;
+    t.phase = Phase::idle;
+    t.since = now;
+    Job& j = jobs[ref.job];
+    if (j.waiting() == 0) j.waiting_since = now;
+    j.again.push_back(ref.task);
+}
+
+void Books::mark_done(TaskRef ref) {
+    unseat(ref);
+    Task& t = task(ref);
+    if (t.phase == Phase::done) return;
+    if (t.phase == Phase::idle) {
+        // It came back done while it waited to be placed again.
+        auto& again = jobs[ref.job].again;
+        auto it = std::find(again.begin(), again.end(), ref.task);
+        if (it == again.end()) return;
+        again.erase(it);
+    }
+    t.phase = Phase::done;
+    ++jobs[ref.job].done;
+    touch(ref);
+}
+
+namespace {
+std::uint32_t room(double limit, double used, double each) {
+    if (limit <= 0 || each <= 0) return 0xffffffffU;
+    double n = std::floor((limit - used + 1e-6) / each);
+    return n <= 0 ? 0 : static_cast<std::uint32_t>(std::min(n, 4e9));
+}
+}  // namespace
+
+std::uint32_t Books::limit_room(Id team, const Amounts& each) const {
+    if (team >= teams_.size()) return 0;
+    const Amounts& limit = teams_[team].limit;
+    return std::min(room(limit.cpus, used_[team].cpus, each.cpus),
+                    room(limit.gpus, used_[team].gpus, each.gpus));
+}
+
+bool Books::within_limit(Id team, const Amounts& more) const { return limit_room(team, more) > 0; }
+
+bool Books::within_guarantee(Id team, const Amounts& more) const {
+    if (team >= teams_.size()) return false;
+    const Amounts& g = teams_[team].guarantee;
+    Amounts total = used_[team] + more;
+    return total.cpus <= g.cpus + 1e-6 && (more.gpus <= 0 || total.gpus <= g.gpus + 1e-6);
+}
+
+std::vector<TaskRecord> Books::snapshot(Id job, std::uint32_t index) const {
+    const Job& j = jobs[job];
+    std::vector<TaskRecord> records(chunk_size(j.spec, index));
+    const auto& slot = j.chunks.at(index);
+    if (!slot) return records;
+    for (std::size_t i = 0; i < records.size(); ++i) {
+        const Task& t = slot->tasks[i];
+        records[i].attempt = t.attempt;
+        records[i].done = t.phase == Phase::done;
+        if (!records[i].done && t.machine != kNone) records[i].machine = machines[t.machine].name;
+    }
+    return records;
+}
+
+void Books::commit(Id job, std::uint32_t index, const std::vector<TaskRecord>& stored,
+                   std::uint64_t stamp) {
+    Chunk& c = chunk(job, index);
+    c.stamp = stamp;
+    for (std::size_t i = 0; i < c.tasks.size() && i < stored.size(); ++i) {
+        Task& t = c.tasks[i];
+        t.c_attempt = stored[i].attempt;
+        t.c_done = stored[i].done;
+        t.c_machine = stored[i].machine.empty() ? kNone : find_machine(stored[i].machine);
+    }
+}
+
+void Books::load_job(const JobView& view,
+                     const std::map<std::uint32_t, ChunkView>* chunks, Ms now) {
+    Id job = add_job(view, now);
+    if (!chunks) return;
+    Job& j = jobs[job];
+    for (const auto& [index, stored] : *chunks) {
+        if (index >= j.chunks.size()) continue;
+        Chunk& c = chunk(job, index);
+        std::vector<TaskRecord> records(c.tasks.size());
+        if (!decode_chunk(stored.value, records)) continue;
+        for (std::uint32_t i = 0; i < records.size(); ++i) {
+            const TaskRecord& r = records[i];
+            TaskRef ref{job, index * j.spec.chunk + i};
+            Task& t = c.tasks[i];
+            t.attempt = r.attempt;
+            if (r.done) {
+                t.phase = Phase::done;
+                ++j.done;
+            } else if (!r.machine.empty()) {
+                Id m = find_machine(r.machine);
+                if (m == kNone) {
+                    // Its machine has left the registry: a return was answered, so it is gone.
+                    t.phase = Phase::idle;
+                } else {
+                    place(ref, m, r.attempt, now);
+                    t.inherited = true;
+                }
+            }
+        }
+        commit(job, index, records, stored.stamp);
+        dirty.erase({job, index});
+    }
+    // What is neither done nor placed waits. Everything beyond the last known chunk is fresh.
+    std::uint32_t known = chunks->empty()
+                              ? 0
+                              : std::min(j.spec.tasks, (chunks->rbegin()->first + 1) * j.spec.chunk);
+    j.next_fresh = known;
+    for (std::uint32_t i = 0; i < known; ++i) {
+        if (task({job, i}).phase == Phase::idle) j.again.push_back(i);
+    }
+}
+
+}  // namespace walkford
--- /dev/null
+++ b/src/bookkeeping/books.hpp
@@ -0,0 +1,199 @@
+// The leader's books: jobs, tasks, machines and team usage. A task is counted where it was placed
+// until it is proven gone from there; every change of place goes through place() and release().
+#pragma once
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <set>
+
+#include "bookkeeping/records.hpp"
+#include "bookkeeping/view.hpp"
+
+namespace walkford {
+
+enum class Phase : std::uint8_t {
+    idle,    // nowhere
+    placed,  // on a machine in the books; `run` not sent under this leader
+    sent,    // `run` went out in an answer; not yet reported
+    seen,    // reported by the worker
+    exited,  // reported as ended; not on the machine any more
+    done,
+};
+
+enum class TaskState : std::uint8_t { pulling, waiting, running, saving, exited, unknown };
+
+struct Task {
+    std::uint32_t attempt = 0;
+    std::uint32_t c_attempt = 0;  // c_: as it stands in the durable record
+    Id machine = kNone;
+    Id c_machine = kNone;
+    Phase phase = Phase::idle;
+    TaskState state = TaskState::unknown;
+    bool c_done = false;
+    bool inherited = false;  // placed by an earlier leader, not yet reported to this one
+    bool halting = false;
+    bool excused = false;    // stopped for the fleet's sake: no blame on job or machine
+    float halt_grace = 0;
+    std::uint64_t sent_tick = 0;  // the beat whose answer carried `run`
+    std::uint64_t sent_session = 0;
+    Ms since = 0;       // when the phase began
+    Ms running_since = -1;
+    Ms halt_told = -1;
+
+    bool durable_here() const {
+        return machine != kNone && c_machine == machine && c_attempt == attempt && !c_done;
+    }
+};
+
+struct Chunk {
+    std::vector<Task> tasks;
+    std::uint64_t stamp = 0;
+    bool in_flight = false;
+    Ms retry_at = 0;
+};
+
+struct Job {
+    JobSpec spec;
+    std::uint64_t stamp = 0;
+    std::uint64_t born = 0;
+    Ms known_since = 0;
+    bool cancelled = false;
+    bool alive = true;     // false: this slot of the table is free
+    bool ending = false;   // the final record is being written
+    Ms retry_at = 0;
+    std::vector<std::unique_ptr<Chunk>> chunks;  // made when first needed
+    std::uint32_t next_fresh = 0;
+    std::deque<std::uint32_t> again;  // tasks to be placed once more
+    std::uint32_t done = 0;
+    std::uint32_t placed = 0;         // counted on machines
+    std::map<Id, std::uint32_t> zones;  // placed tasks by zone
+    // A job that fails everywhere was submitted with a mistake: it waits longer and longer.
+    std::set<Id> failed_on;
+    std::uint32_t failures = 0;
+    Ms not_before = 0;
+    Ms waiting_since = 0;
+
+    std::uint32_t waiting() const {
+        return spec.tasks - next_fresh + static_cast<std::uint32_t>(again.size());
+    }
+};
+
+struct TaskRef {
+    Id job = kNone;
+    std::uint32_t task = 0;
+    auto operator<=>(const TaskRef&) const = default;
+};
+
+struct ReportedTask {
+    std::string job;
+    std::uint32_t task = 0;
+    std::uint32_t attempt = 0;
+    TaskState state = TaskState::unknown;
+    std::string cause;
+    bool kept = false;
+};
+
+enum class CloudStatus : std::uint8_t { unlisted, booting, running, failed };
+
+struct Machine {
+    std::string name;
+    Id kind = kNone;
+    Id zone = kNone;
+    bool spot = false;
+    std::string address;
+    bool held = false;       // stands in the registry
+    bool permanent = false;
+    bool returning = false;  // marked before the cloud is asked; never used again
+    bool gone = false;
+    Ms known_since = 0;
+    Ms rented_at = 0;        // by our clock, as well as it is known
+    CloudStatus cloud = CloudStatus::unlisted;
+    Ms last_listed = -1;
+    Ms listed_since = -1;
+    // What its worker told.
+    bool reported = false;   // to this leader
+    bool token_seen = false;   // its worker has seen our token: no older leader is obeyed
+    Ms token_seen_at = -1;
+    std::uint64_t session = 0;
+    std::uint64_t tick = 0;
+    std::uint64_t beat_tick = 0;
+    Ms last_beat = -1;
+    Ms last_ok = -1;         // when we last answered 200: its lease may count from there
+    bool lost = false;       // lease surely over and not heard of since
+    std::uint64_t min_session = 0;  // reports of earlier sessions come from before it was lost
+    Ms notice_until = -1;    // spot: when the cloud takes it, by our clock
+    // What we make of it.
+    Amounts used;
+    std::set<TaskRef> tasks;
+    std::map<Id, Ms> images;  // fetched for a task of ours -> last use
+    std::set<Id> error_jobs;  // jobs that failed here since the last success
+    Ms last_error = -1;
+    bool sick = false;
+    Ms avoid_until = 0;
+    Ms idle_since = 0;
+    Ms probe_at = 0;
+    bool probing = false;
+};
+
+class Books {
+  public:
+    Books(Names& names, std::vector<Team> teams);
+
+    void set_kinds(const std::vector<Kind>& kinds);
+    const std::vector<Kind>& kinds() const { return kinds_; }
+    const Kind* kind(Id id) const;
+    const Team* team(Id id) const { return id < teams_.size() ? &teams_[id] : nullptr; }
+    const Amounts& team_used(Id id) const { return used_.at(id); }
+
+    // Deques: a reference stays good while others are added.
+    std::deque<Job> jobs;
+    std::deque<Machine> machines;
+    Names& names;
+    std::set<std::pair<Id, std::uint32_t>> dirty;  // chunks that differ from the durable record
+
+    Id find_job(const std::string& id) const;
+    Id add_job(const JobView& view, Ms now);
+    void remove_job(Id id);
+    Id find_machine(const std::string& name) const;
+    Id add_machine(const std::string& name, Id kind, Id zone, bool spot, Ms now);
+    void forget_machine(Id id);
+
+    Task& task(TaskRef ref);
+    Chunk& chunk_of(TaskRef ref);
+    Chunk& chunk(Id job, std::uint32_t index);
+
+    // The task is on the machine from now on, in the books; the attempt rises.
+    void place(TaskRef ref, Id machine, std::uint32_t attempt, Ms now);
+    // The task is proven not to be on its machine any more.
+    void unseat(TaskRef ref);
+    // ... and is to be placed again.
+    void requeue(TaskRef ref, Ms now);
+    void mark_done(TaskRef ref);
+
+    bool within_limit(Id team, const Amounts& more) const;
+    // How many more tasks of this size the team's limit admits.
+    std::uint32_t limit_room(Id team, const Amounts& each) const;
+    // What the team is using lies within its guarantee, with `more` added.
+    bool within_guarantee(Id team, const Amounts& more) const;
+
+    // Adopts what an earlier leader wrote.
+    void load_job(const JobView& view,
+                  const std::map<std::uint32_t, ChunkView>* chunks, Ms now);
+    void touch(TaskRef ref) { dirty.insert({ref.job, ref.task / jobs[ref.job].spec.chunk}); }
+    std::vector<TaskRecord> snapshot(Id job, std::uint32_t chunk) const;
+    void commit(Id job, std::uint32_t chunk, const std::vector<TaskRecord>& stored,
+                std::uint64_t stamp);
+
+    std::uint32_t chunk_size(const JobSpec& spec, std::uint32_t index) const;
+
+  private:
+    std::vector<Kind> kinds_;
+    std::vector<Team> teams_;
+    std::vector<Amounts> used_;
+    std::unordered_map<std::string, Id> job_ids_;
+    std::vector<Id> free_jobs_;
+    std::unordered_map<std::string, Id> machine_ids_;
+};
+
+}  // namespace walkford
--- /dev/null
+++ b/src/bookkeeping/types.hpp
@@ -0,0 +1,133 @@
+// The domain's own words. Nothing in here knows a socket, a clock or a wire name.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace walkford {
+
+using Ms = std::int64_t;  // steady milliseconds; never the time of day
+using Id = std::uint32_t;
+inline constexpr Id kNone = 0xffffffffU;
+
+inline Ms to_ms(double seconds) { return static_cast<Ms>(seconds * 1000.0); }
+// Steady clocks of two machines drift apart by up to 0.05%; twice that is allowed for.
+inline Ms with_drift(Ms span) { return span + span / 1000 + 1; }
+
+struct Amounts {
+    double cpus = 0;
+    double gpus = 0;
+    double ram = 0;
+
+    Amounts& operator+=(const Amounts& o) {
+        cpus += o.cpus;
+        gpus += o.gpus;
+        ram += o.ram;
+        return *this;
+    }
+    Amounts& operator-=(const Amounts& o) {
+        cpus -= o.cpus;
+        gpus -= o.gpus;
+        ram -= o.ram;
+        return *this;
+    }
+    friend Amounts operator+(Amounts a, const Amounts& b) { return a += b; }
+    friend Amounts operator-(Amounts a, const Amounts& b) { return a -= b; }
+    friend Amounts operator*(Amounts a, double f) {
+        return {a.cpus * f, a.gpus * f, a.ram * f};
+    }
+    // Sums of decimals wander in the last bits; a millionth is not a resource.
+    bool fits_in(const Amounts& room) const {
+        constexpr double kSlack = 1e-6;
+        return cpus <= room.cpus + kSlack && gpus <= room.gpus + kSlack &&
+               ram <= room.ram + kSlack;
+    }
+    double get(int resource) const { return resource == 0 ? cpus : resource == 1 ? ram : gpus; }
+};
+inline constexpr int kResources = 3;  // cores, memory, GPUs: the order of Amounts::get
+inline const char* resource_name(int r) {
+    return r == 0 ? "cores" : r == 1 ? "memory" : "gpus";
+}
+
+// Names to dense indices; an index is never reused.
+class Interner {
+  public:
+    Id intern(const std::string& name) {
+        auto [it, fresh] = ids_.try_emplace(name, static_cast<Id>(names_.size()));
+        if (fresh) names_.push_back(name);
+        return it->second;
+    }
+    Id find(const std::string& name) const {
+        auto it = ids_.find(name);
+        return it == ids_.end() ? kNone : it->second;
+    }
+    const std::string& name(Id id) const { return names_.at(id); }
+    std::size_t size() const { return names_.size(); }
+
+  private:
+    std::unordered_map<std::string, Id> ids_;
+    std::vector<std::string> names_;
+};
+
+struct Names {
+    Interner kinds;
+    Interner zones;
+    Interner teams;
+    Interner images;
+};
+
+enum class Priority : std::uint8_t { best_effort = 0, normal = 1, high = 2, production = 3 };
+
+struct JobSpec {
+    std::string id;
+    Id team = kNone;
+    bool gang = false;
+    Priority priority = Priority::normal;
+    std::uint32_t tasks = 1;
+    Amounts each;
+    bool any_kind = true;
+    std::vector<Id> kinds;  // allowed ones, unless any_kind
+    Id zone = kNone;        // the only allowed one, or kNone
+    bool one_zone = false;
+    bool spread = false;
+    bool spot = false;
+    Id image = kNone;
+    double image_gb = 0;
+    double estimate_s = 0;
+    double checkpoint_s = 0;
+    double save_s = 0;
+    double deadline_s = -1;
+    std::uint32_t chunk = 64;  // tasks to a placement record
+
+    bool allows_kind(Id kind) const {
+        if (any_kind) return true;
+        for (Id k : kinds) {
+            if (k == kind) return true;
+        }
+        return false;
+    }
+    std::uint32_t zone_most() const { return spread ? (tasks + 1) / 2 : tasks; }
+};
+
+struct Kind {
+    Id id = kNone;
+    Amounts size;
+    double cache_gb = 0;
+    double fetch_gb_per_s = 0;
+    double price = 0;
+    double spot_price = 0;
+    double boot_s = 0;
+    std::vector<Id> zones;
+};
+
+struct Team {
+    std::string name;
+    Amounts guarantee;  // 0: none
+    Amounts limit;      // 0: none
+};
+
+enum class JobStatus : std::uint8_t { pending, running, done, cancelled };
+
+}  // namespace walkford
--- /dev/null
+++ b/src/bookkeeping/view.cpp
@@ -0,0 +1,167 @@
+#include "bookkeeping/view.hpp"
+
+namespace walkford {
+
+namespace {
+bool starts(const std::string& key, const std::string& prefix) {
+    return key.compare(0, prefix.size(), prefix) == 0;
+}
+}  // namespace
+
+// Changes reach a node by two ways (a watch and a reading); an old one must not undo a newer drop.
+bool View::newer(const std::string& key, std::uint64_t stamp) {
+    auto it = dropped_.find(key);
+    return it == dropped_.end() || it->second < stamp;
+}
+
+bool View::apply(const StateRow& row) {
+    const std::string& key = row.key;
+    if (reading_ && row.value) seen_.insert(key);
+    if (!newer(key, row.stamp)) return false;
+    if (!row.value) {
+        if (dropped_.emplace(key, row.stamp).second) {
+            dropped_order_.push_back(key);
+        } else {
+            dropped_[key] = row.stamp;
+        }
+        while (dropped_order_.size() > 4096) {
+            dropped_.erase(dropped_order_.front());
+            dropped_order_.pop_front();
+        }
+    }
+    auto singleton = [&](std::optional<Json>& slot, std::uint64_t& stamp) {
+        if (row.stamp <= stamp) return false;
+        slot = row.value;
+        stamp = row.value ? row.stamp : 0;
+        return true;
+    };
+    if (key == keys::kLeader) {
+        if (row.stamp <= leader_stamp) return false;
+        leader = row.value ? decode_leader(*row.value) : std::nullopt;
+        leader_stamp = leader ? row.stamp : 0;
+        return true;
+    }
+    if (key == keys::kRegistry) return singleton(registry, registry_stamp);
+    if (key == keys::kKinds) return singleton(kinds, kinds_stamp);
+    if (starts(key, keys::kJobs)) {
+        std::string id = key.substr(keys::kJobs.size());
+        auto it = jobs_.find(id);
+        if (it != jobs_.end() && row.stamp <= it->second.stamp) return false;
+        if (!row.value) {
+            if (it != jobs_.end()) jobs_.erase(it);
+            return true;
+        }
+        auto record = decode_job(id, *row.value, names_);
+        if (!record) return false;
+        if (it == jobs_.end()) {
+            jobs_.emplace(id, JobView{std::move(*record), row.stamp, row.stamp});
+        } else {
+            it->second.record = std::move(*record);
+            it->second.stamp = row.stamp;
+        }
+        return true;
+    }
+    if (starts(key, keys::kEnded)) {
+        if (!row.value) return false;
+        auto record = decode_ended(*row.value);
+        if (!record) return false;
+        remember_ended(key.substr(keys::kEnded.size()), *record);
+        return true;
+    }
+    if (auto parsed = keys::parse_chunk(key)) {
+        auto& [id, index] = *parsed;
+        auto& list = chunks_[id];
+        auto it = list.find(index);
+        if (it != list.end() && row.stamp <= it->second.stamp) return false;
+        if (row.value) {
+            list[index] = ChunkView{*row.value, row.stamp};
+        } else {
+            list.erase(index);
+        }
+        if (list.empty()) chunks_.erase(id);
+        return true;
+    }
+    return false;
+}
+
+void View::begin_reading() {
+    reading_ = true;
+    seen_.clear();
+}
+
+void View::end_reading(std::uint64_t revision) {
+    reading_ = false;
+    std::vector<std::string> gone;
+    for (const auto& [id, job] : jobs_) {
+        if (job.stamp <= revision && !seen_.count(keys::job(id))) gone.push_back(keys::job(id));
+    }
+    for (const auto& [id, list] : chunks_) {
+        for (const auto& [index, chunk] : list) {
+            std::string key = keys::chunk(id, index);
+            if (chunk.stamp <= revision && !seen_.count(key)) gone.push_back(key);
+        }
+    }
+    if (leader_stamp && leader_stamp <= revision && !seen_.count(keys::kLeader)) {
+        gone.push_back(keys::kLeader);
+    }
+    seen_.clear();
+    // The stamp of the drop is unknown; just above what is held keeps any later change newer.
+    for (const std::string& key : gone) {
+        if (key == keys::kLeader) {
+            leader.reset();
+            leader_stamp = 0;
+        } else if (starts(key, keys::kJobs)) {
+            jobs_.erase(key.substr(keys::kJobs.size()));
+        } else if (auto parsed = keys::parse_chunk(key)) {
+            auto it = chunks_.find(parsed->first);
+            if (it == chunks_.end()) continue;
+            it->second.erase(parsed->second);
+            if (it->second.empty()) chunks_.erase(it);
+        }
+    }
+    advance(revision);
+}
+
+const JobView* View::job(const std::string& id) const {
+    auto it = jobs_.find(id);
+    return it == jobs_.end() ? nullptr : &it->second;
+}
+
+const std::map<std::uint32_t, ChunkView>* View::chunks(const std::string& id) const {
+    auto it = chunks_.find(id);
+    return it == chunks_.end() ? nullptr : &it->second;
+}
+
+std::optional<EndedRecord> View::ended(const std::string& id) const {
+    auto it = ended_.find(id);
+    if (it == ended_.end()) return std::nullopt;
+    return it->second;
+}
+
+void View::remember_ended(const std::string& id, const EndedRecord& record) {
+    if (!ended_.emplace(id, record).second) return;  // an ended job never changes again
+    ended_order_.push_back(id);
+    if (ended_order_.size() > kEndedKept) {
+        ended_.erase(ended_order_.front());
+        ended_order_.pop_front();
+    }
+}
+
+View::Counts View::counts(const std::string& id) const {
+    Counts counts;
+    const auto* list = chunks(id);
+    if (!list) return counts;
+    for (const auto& [index, chunk] : *list) {
+        if (auto d = chunk.value.find("d"); d != chunk.value.end()) {
+            for (std::size_t i = 0; i + 1 < d->size(); i += 2) {
+                counts.done += (*d)[i + 1].get<std::uint32_t>() - (*d)[i].get<std::uint32_t>() + 1;
+            }
+        }
+        if (auto m = chunk.value.find("m"); m != chunk.value.end()) {
+            for (const Json& tasks : *m) counts.running += static_cast<std::uint32_t>(tasks.size() / 2);
+        }
+    }
+    return counts;
+}
+
+}  // namespace walkford
--- /dev/null
+++ b/src/bookkeeping/view.hpp
@@ -0,0 +1,84 @@
+// A node's copy of what stands in the state service, kept up by changes. Every node has one; a
+// leader builds its books from it.
+#pragma once
+
+#include <list>
+#include <map>
+#include <set>
+#include <optional>
+#include <string>
+#include <unordered_map>
+
+#include "bookkeeping/records.hpp"
+
+namespace walkford {
+
+struct StateRow {
+    std::string key;
+    std::optional<Json> value;  // nothing: dropped
+    std::uint64_t stamp = 0;
+};
+
+struct ChunkView {
+    Json value;
+    std::uint64_t stamp = 0;
+};
+
+struct JobView {
+    JobRecord record;
+    std::uint64_t stamp = 0;
+    std::uint64_t born = 0;  // the stamp it was first seen with: its age
+};
+
+class View {
+  public:
+    explicit View(Names& names) : names_(names) {}
+
+    // Applies one change; older news than what is held changes nothing. True if it was news.
+    bool apply(const StateRow& row);
+    void advance(std::uint64_t revision) { revision_ = std::max(revision_, revision); }
+    std::uint64_t revision() const { return revision_; }
+    // A full reading starts: what it does not mention is gone when it ends.
+    void begin_reading();
+    void end_reading(std::uint64_t revision);
+
+    const JobView* job(const std::string& id) const;
+    const std::map<std::string, JobView>& jobs() const { return jobs_; }
+    const std::map<std::uint32_t, ChunkView>* chunks(const std::string& id) const;
+    const std::map<std::string, std::map<std::uint32_t, ChunkView>>& all_chunks() const {
+        return chunks_;
+    }
+    std::optional<EndedRecord> ended(const std::string& id) const;
+    void remember_ended(const std::string& id, const EndedRecord& record);
+
+    struct Counts {
+        std::uint32_t done = 0;
+        std::uint32_t running = 0;
+    };
+    Counts counts(const std::string& id) const;
+
+    std::optional<LeaderRecord> leader;
+    std::uint64_t leader_stamp = 0;  // 0: nobody leads
+    std::optional<Json> registry;
+    std::uint64_t registry_stamp = 0;
+    std::optional<Json> kinds;
+    std::uint64_t kinds_stamp = 0;
+
+  private:
+    bool newer(const std::string& key, std::uint64_t stamp);
+
+    Names& names_;
+    std::uint64_t revision_ = 0;
+    std::map<std::string, JobView> jobs_;
+    std::map<std::string, std::map<std::uint32_t, ChunkView>> chunks_;
+    // Ended jobs need not stay in memory: the most recent ones do, the rest are read when asked.
+    static constexpr std::size_t kEndedKept = 8000;
+    std::unordered_map<std::string, EndedRecord> ended_;
+    std::list<std::string> ended_order_;
+    std::unordered_map<std::string, std::uint64_t> dropped_;  // key -> stamp of its drop
+    std::list<std::string> dropped_order_;
+    bool reading_ = false;
+    std::set<std::string> seen_;
+};
+
+}  // namespace walkford
--- /dev/null
+++ b/src/coordination/cloud_dialogue.cpp
@@ -0,0 +1,435 @@
+#include "coordination/cloud_dialogue.hpp"
+
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+
+#include "coordination/leader.hpp"
+
+namespace walkford {
+
+namespace {
+constexpr Ms kListEvery = 2500;
+constexpr Ms kKindsEvery = 30000;
+}  // namespace
+
+void CloudDialogue::load(Ms now) {
+    Core& core = term_.core;
+    Books& books = term_.books;
+    if (!core.view.registry) return;
+    auto registry = decode_registry(*core.view.registry, core.names);
+    if (!registry) {
+        spdlog::error("the machine registry can't be read; nothing is rented or given back");
+        return;
+    }
+    registry_ = std::move(*registry);
+    stamp_ = core.view.registry_stamp;
+    loaded_ = true;
+    for (const Held& h : registry_.machines) {
+        Id id = books.add_machine(h.name, h.kind, h.zone, h.spot, now);
+        Machine& m = books.machines[id];
+        m.held = true;
+        m.permanent = h.permanent;
+        m.returning = h.returning;
+        if (h.returning) to_return_.insert(h.name);
+    }
+    // Hires whose answer an earlier leader did not record are repeated under their name.
+    for (const Hire& h : registry_.hires) ask_again_[h.name] = now;
+}
+
+bool CloudDialogue::first_rented() const {
+    if (registry_.first_rented) return true;
+    return std::any_of(registry_.hires.begin(), registry_.hires.end(),
+                       [](const Hire& h) { return h.permanent; });
+}
+
+void CloudDialogue::write(Ms now) {
+    if (writing_ || written_ == version_ || now < write_at_) return;
+    writing_ = true;
+    Txn txn;
+    txn.conditions = {{keys::kLeader, term_.token}, {keys::kRegistry, stamp_}};
+    txn.writes = {{keys::kRegistry, encode_registry(registry_, term_.core.names), 0}};
+    term_.core.state.txn(
+        Urgency::placement, std::move(txn),
+        [this, alive = std::weak_ptr<bool>(term_.alive), version = version_](
+            Ms at, const StateReply& r) {
+            if (alive.expired()) return;
+            writing_ = false;
+            if (r.status == 200) {
+                stamp_ = r.revision;
+                written_ = version;
+                std::vector<Waiting> ready;
+                for (auto it = waiting_.begin(); it != waiting_.end();) {
+                    if (it->version <= written_) {
+                        ready.push_back(std::move(*it));
+                        it = waiting_.erase(it);
+                    } else {
+                        ++it;
+                    }
+                }
+                for (Waiting& w : ready) w.then(at);
+                return;
+            }
+            write_at_ = at + 250;
+            if (r.status != 409) return;
+            for (const std::string& failed : r.failed) {
+                if (failed == keys::kLeader) {
+                    term_.depose(at, "a write found another leader");
+                    return;
+                }
+            }
+            // An earlier copy of our own write got there; ours is written over it.
+            writing_ = true;
+            term_.core.state.get(
+                keys::kRegistry,
+                [this, alive](Ms, const StateReply& got) {
+                    if (alive.expired()) return;
+                    writing_ = false;
+                    if (got.status == 200 && got.rows.size() == 1) stamp_ = got.rows[0].stamp;
+                    if (got.status == 404) stamp_ = 0;
+                },
+                term_.core.out);
+        });
+}
+
+bool CloudDialogue::can_rent(Id kind, Id zone, bool spot, Ms now) const {
+    if (!loaded_) return false;
+    auto it = refused_until_.find({kind, zone, spot});
+    if (it != refused_until_.end() && now < it->second) return false;
+    return std::none_of(registry_.hires.begin(), registry_.hires.end(), [&](const Hire& h) {
+        return h.kind == kind && h.zone == zone && h.spot == spot;
+    });
+}
+
+bool CloudDialogue::rent(Ms now, Id kind, Id zone, bool spot, std::uint32_t count, bool permanent) {
+    if (!can_rent(kind, zone, spot, now) || count == 0) return false;
+    Hire h;
+    // Unique for ever: the token is, and the counter within it.
+    h.name = "w" + std::to_string(term_.token) + "-" + std::to_string(registry_.next_hire);
+    h.kind = kind;
+    h.zone = zone;
+    h.spot = spot;
+    h.count = std::min<std::uint32_t>(count, 50);
+    h.permanent = permanent;
+    registry_.hires.push_back(h);
+    std::size_t size = encode_registry(registry_, term_.core.names).dump().size();
+    // Room for the names this hire will bring: what the value can't hold is not rented.
+    if (static_cast<double>(size + 16 * h.count + 64) > term_.core.platform.value_kb * 1024.0) {
+        registry_.hires.pop_back();
+        spdlog::error("the machine registry is full: {} machines are not rented", h.count);
+        return false;
+    }
+    ++registry_.next_hire;
+    changed();
+    after_write([this, name = h.name](Ms at) { ask(at, name); });
+    spdlog::info("rent {}: {} {}{} in {}{}", h.name, h.count, term_.core.names.kinds.name(kind),
+                 spot ? " (spot)" : "", term_.core.names.zones.name(zone),
+                 permanent ? ", permanent" : "");
+    write(now);
+    return true;
+}
+
+void CloudDialogue::ask(Ms now, const std::string& name) {
+    auto find = [this, name] {
+        return std::find_if(registry_.hires.begin(), registry_.hires.end(),
+                            [&](const Hire& h) { return h.name == name; });
+    };
+    auto it = find();
+    if (it == registry_.hires.end() || asking_.count(name)) return;
+    asking_.insert(name);
+    ask_again_.erase(name);
+    CloudCall c;
+    c.verb = CloudVerb::hire;
+    c.hire = name;
+    c.kind = term_.core.names.kinds.name(it->kind);
+    c.zone = term_.core.names.zones.name(it->zone);
+    c.spot = it->spot;
+    c.count = it->count;
+    (void)now;
+    term_.core.cloud.call(
+        std::move(c), [this, alive = std::weak_ptr<bool>(term_.alive), name, find](
+                          Ms at, const CloudReply& r) {
+            if (alive.expired()) return;
+            asking_.erase(name);
+            auto hire = find();
+            if (hire == registry_.hires.end()) return;
+            Books& books = term_.books;
+            std::tuple option{hire->kind, hire->zone, hire->spot};
+            if (r.status == 200) {
+                spdlog::info("hire {}: {} of {} machines", name, r.names.size(), hire->count);
+                if (r.names.size() < hire->count) {
+                    refused_until_[option] = at + to_ms(term_.core.policy.no_capacity_backoff_s);
+                }
+                for (const std::string& machine : r.names) {
+                    if (returned_.count(machine)) continue;
+                    Id id = books.add_machine(machine, hire->kind, hire->zone, hire->spot, at);
+                    Machine& m = books.machines[id];
+                    if (m.held) continue;
+                    m.held = true;
+                    m.permanent = hire->permanent;
+                    m.kind = hire->kind;
+                    m.zone = hire->zone;
+                    m.spot = hire->spot;
+                    strays_.erase(machine);
+                    registry_.machines.push_back(
+                        {machine, hire->kind, hire->zone, hire->spot, hire->permanent, false});
+                }
+                if (!r.names.empty()) registry_.first_rented = true;
+                registry_.hires.erase(hire);
+                term_.place_now = true;
+                changed();
+                write(at);
+            } else if (r.status == 503 && r.more) {
+                // No capacity: surely not executed. (`more` is set for that answer alone.)
+                spdlog::info("hire {}: no capacity", name);
+                refused_until_[option] = at + to_ms(term_.core.policy.no_capacity_backoff_s);
+                registry_.hires.erase(hire);
+                changed();
+                write(at);
+            } else if (r.status == 400) {
+                spdlog::error("hire {} was refused as malformed", name);
+                refused_until_[option] = at + 60000;
+                registry_.hires.erase(hire);
+                changed();
+                write(at);
+            } else {
+                // No answer, an outage or too many requests: the same name again until it is known.
+                ask_again_[name] = at + (r.status == 429 ? 1000 : 1500);
+            }
+        });
+}
+
+void CloudDialogue::give_back(Ms now, Id machine, const char* why) {
+    Machine& m = term_.books.machines[machine];
+    if (m.returning || m.gone) return;
+    m.returning = true;
+    spdlog::info("give back {} ({}{}): {}", m.name,
+                 m.kind == kNone ? "?" : term_.core.names.kinds.name(m.kind), m.spot ? ", spot" : "",
+                 why);
+    std::string name = m.name;
+    for (Held& h : registry_.machines) {
+        if (h.name == name) h.returning = true;
+    }
+    if (!m.held) {
+        to_return_.insert(name);
+        return;
+    }
+    changed();
+    after_write([this, name](Ms) { to_return_.insert(name); });
+    write(now);
+}
+
+void CloudDialogue::ask_return(Ms now) {
+    if (returning_ || to_return_.empty() || now < return_at_) return;
+    returning_ = true;
+    CloudCall c;
+    c.verb = CloudVerb::give_back;
+    for (const std::string& name : to_return_) {
+        if (c.names.size() < 100) c.names.push_back(name);
+    }
+    term_.core.cloud.call(
+        CloudCall(c), [this, alive = std::weak_ptr<bool>(term_.alive), names = c.names](
+                          Ms at, const CloudReply& r) {
+            if (alive.expired()) return;
+            returning_ = false;
+            if (r.status != 200) {
+                return_at_ = at + 1200;
+                return;
+            }
+            for (const std::string& name : names) {
+                to_return_.erase(name);
+                returned_[name] = at;
+                Id id = term_.books.find_machine(name);
+                if (id != kNone) removed(at, id, "given back");
+            }
+        });
+}
+
+void CloudDialogue::removed(Ms now, Id machine, const char* why) {
+    Books& books = term_.books;
+    std::string name = books.machines[machine].name;
+    bool held = books.machines[machine].held;
+    fates_.machine_emptied(machine, now, why);
+    books.forget_machine(machine);
+    strays_.erase(name);
+    to_return_.erase(name);
+    if (!held) return;
+    std::erase_if(registry_.machines, [&](const Held& h) { return h.name == name; });
+    changed();
+    write(now);
+}
+
+void CloudDialogue::list(Ms now, const std::string& after) {
+    if (after.empty()) {
+        listing_ = true;
+        list_began_ = now;
+        listed_.clear();
+    }
+    CloudCall c;
+    c.verb = CloudVerb::list;
+    c.after = after;
+    term_.core.cloud.call(
+        std::move(c),
+        [this, alive = std::weak_ptr<bool>(term_.alive)](Ms at, const CloudReply& r) {
+            if (alive.expired()) return;
+            if (r.status != 200) {
+                listing_ = false;
+                list_at_ = at + 1000;
+                return;
+            }
+            listed_.insert(listed_.end(), r.machines.begin(), r.machines.end());
+            if (r.more && !r.machines.empty()) {
+                list(at, r.machines.back().name);
+                return;
+            }
+            listing_ = false;
+            list_at_ = at + kListEvery;
+            take_list(at);
+        });
+}
+
+void CloudDialogue::adopt(Ms now) {
+    // The very first list: what is there at the start is ours, and permanent.
+    Books& books = term_.books;
+    for (const CloudMachine& c : listed_) {
+        if (c.status == CloudStatus::failed) continue;
+        Id id = books.add_machine(c.name, books.names.kinds.intern(c.kind),
+                                  books.names.zones.intern(c.zone), c.spot, now);
+        Machine& m = books.machines[id];
+        m.held = true;
+        m.permanent = true;
+        registry_.machines.push_back({c.name, m.kind, m.zone, m.spot, true, false});
+    }
+    registry_.first_rented = !registry_.machines.empty();
+    loaded_ = true;
+    spdlog::info("{} machines at the start, permanent", registry_.machines.size());
+    changed();
+    write(now);
+}
+
+void CloudDialogue::take_list(Ms now) {
+    Books& books = term_.books;
+    if (!loaded_ && term_.core.view.registry) return;  // unreadable: touch nothing
+    if (!loaded_) adopt(now);
+    Ms lag = to_ms(term_.core.platform.list_lag_s);
+    std::set<std::string> names;
+    for (const CloudMachine& c : listed_) {
+        names.insert(c.name);
+        Id id = books.find_machine(c.name);
+        if (id == kNone) {
+            if (returned_.count(c.name)) continue;
+            id = books.add_machine(c.name, books.names.kinds.intern(c.kind),
+                                   books.names.zones.intern(c.zone), c.spot, now);
+        }
+        Machine& m = books.machines[id];
+        if (m.address.empty()) m.address = c.address;
+        if (m.kind == kNone) m.kind = books.names.kinds.intern(c.kind);
+        m.cloud = c.status;
+        if (m.listed_since < 0) {
+            m.listed_since = now;
+            // A list tells a machine's age: a new leader learns when it was rented.
+            m.rented_at = std::min(m.rented_at, now - to_ms(c.age_s));
+        }
+        m.last_listed = now;
+    }
+    for (Id id = 0; id < books.machines.size(); ++id) {
+        Machine& m = books.machines[id];
+        if (m.gone || names.count(m.name)) continue;
+        // A list may be older than the one before, by up to twice the lag: only what was listed
+        // longer ago than that is missing because it is gone.
+        if (m.listed_since >= 0 && list_began_ > m.listed_since + 2 * with_drift(lag) + 1500) {
+            spdlog::info("machine {} left the cloud's list: gone with {} tasks", m.name,
+                         m.tasks.size());
+            removed(now, id, "not listed any more");
+        } else if (m.listed_since < 0 && m.held && !m.reported &&
+                   now > m.known_since + 4 * lag + 10000) {
+            give_back(now, id, "never listed");
+        }
+    }
+    for (auto it = returned_.begin(); it != returned_.end();) {
+        it = now > it->second + 6 * lag + 60000 ? returned_.erase(it) : std::next(it);
+    }
+}
+
+void CloudDialogue::watch_machines(Ms now) {
+    Books& books = term_.books;
+    const Policy& policy = term_.core.policy;
+    for (Id id = 0; id < books.machines.size(); ++id) {
+        Machine& m = books.machines[id];
+        if (m.gone || m.returning) continue;
+        if (!m.held) {
+            // Unexpected: a hire executed late, or one whose answer is still to come.
+            auto since = strays_.try_emplace(m.name, now).first->second;
+            if (loaded_ && ask_again_.empty() && now > since + 7000) {
+                give_back(now, id, "not in the registry");
+            }
+            continue;
+        }
+        const Kind* kind = books.kind(m.kind);
+        double boot = kind ? kind->boot_s : 60;
+        if (m.cloud == CloudStatus::failed) {
+            give_back(now, id, "failed");
+        } else if (m.sick && m.tasks.empty()) {
+            give_back(now, id, "fails what it is given");
+        } else if (!m.reported && m.cloud != CloudStatus::running &&
+                   now > std::max(m.rented_at + to_ms(boot * policy.boot_give_up),
+                                  term_.elected_at + 5000)) {
+            give_back(now, id, "never came up");
+        } else if (m.lost && now > m.last_beat + to_ms(term_.core.platform.lease_s +
+                                                       policy.lost_return_s)) {
+            give_back(now, id, "silent");
+        } else if (!m.reported && m.cloud == CloudStatus::running &&
+                   now > std::max({m.listed_since + to_ms(policy.unseen_return_s),
+                                   term_.elected_at + to_ms(policy.unseen_return_s),
+                                   m.rented_at + to_ms(boot * policy.boot_give_up)})) {
+            give_back(now, id, "does not report");
+        }
+    }
+}
+
+void CloudDialogue::read_kinds(Ms now) {
+    reading_kinds_ = true;
+    CloudCall c;
+    c.verb = CloudVerb::kinds;
+    (void)now;
+    term_.core.cloud.call(std::move(c), [this, alive = std::weak_ptr<bool>(term_.alive)](
+                                            Ms at, const CloudReply& r) {
+        if (alive.expired()) return;
+        reading_kinds_ = false;
+        if (r.status != 200 || r.kinds.empty()) {
+            kinds_at_ = at + 1500;
+            return;
+        }
+        kinds_at_ = at + kKindsEvery;
+        bool first = term_.core.kinds.empty();
+        term_.core.kinds = r.kinds;
+        term_.books.set_kinds(r.kinds);
+        if (first) term_.place_now = true;
+        // Kept durably (at nominal prices, which move too often to be written): a controller that
+        // starts while the cloud is out can still judge submissions.
+        if (term_.core.view.kinds) return;
+        Txn txn;
+        txn.conditions = {{keys::kLeader, term_.token}};
+        txn.writes = {{keys::kKinds, encode_kinds(r.kinds, term_.core.names), 0}};
+        term_.core.state.txn(Urgency::progress, std::move(txn), [](Ms, const StateReply&) {});
+    });
+}
+
+void CloudDialogue::tick(Ms now) {
+    if (term_.act) write(now);
+    if (!term_.act) return;
+    if (!reading_kinds_ && now >= kinds_at_) read_kinds(now);
+    if (!listing_ && now >= list_at_) list(now, "");
+    std::vector<std::string> due;
+    for (const auto& [name, at] : ask_again_) {
+        if (now >= at && !asking_.count(name)) due.push_back(name);
+    }
+    for (const std::string& name : due) ask(now, name);
+    ask_return(now);
+    if (now >= watch_at_) {
+        watch_at_ = now + 500;
+        watch_machines(now);
+    }
+}
+
+}  // namespace walkford
--- /dev/null
+++ b/src/coordination/cloud_dialogue.hpp
@@ -0,0 +1,71 @@
+// The leader's talk with the cloud, and the registry of machines held.
+#pragma once
+
+#include "coordination/core.hpp"
+#include "coordination/term_fwd.hpp"
+
+namespace walkford {
+
+class CloudDialogue {
+  public:
+    CloudDialogue(Term& term, Fates& fates) : term_(term), fates_(fates) {}
+
+    void load(Ms now);
+    void tick(Ms now);
+
+    // Asks for machines; false when this can't be asked for now.
+    bool rent(Ms now, Id kind, Id zone, bool spot, std::uint32_t count, bool permanent);
+    void give_back(Ms now, Id machine, const char* why);
+
+    bool can_rent(Id kind, Id zone, bool spot, Ms now) const;
+    bool known() const { return loaded_; }
+    const std::vector<Hire>& hires() const { return registry_.hires; }
+    bool first_rented() const;
+
+  private:
+    struct Waiting {
+        std::uint64_t version = 0;
+        std::function<void(Ms)> then;
+    };
+    void changed() { ++version_; }
+    void after_write(std::function<void(Ms)> then) {
+        waiting_.push_back({version_, std::move(then)});
+    }
+    void write(Ms now);
+    void ask(Ms now, const std::string& hire);
+    void ask_return(Ms now);
+    void list(Ms now, const std::string& after);
+    void take_list(Ms now);
+    void adopt(Ms now);
+    void removed(Ms now, Id machine, const char* why);
+    void watch_machines(Ms now);
+    void read_kinds(Ms now);
+
+    Term& term_;
+    Fates& fates_;
+    Registry registry_;
+    bool loaded_ = false;       // the registry is known (read, or made from the first list)
+    std::uint64_t stamp_ = 0;
+    std::uint64_t version_ = 0;
+    std::uint64_t written_ = 0;
+    bool writing_ = false;
+    Ms write_at_ = 0;
+    std::vector<Waiting> waiting_;
+    std::set<std::string> asking_;             // hires with a request open
+    std::map<std::string, Ms> ask_again_;      // ... or to be repeated
+    std::map<std::tuple<Id, Id, bool>, Ms> refused_until_;
+    std::set<std::string> to_return_;          // marked durably, the cloud is to be asked
+    std::map<std::string, Ms> returned_;       // answered: the late list may still show them
+    bool returning_ = false;
+    Ms return_at_ = 0;
+    bool listing_ = false;
+    Ms list_at_ = 0;
+    Ms list_began_ = 0;
+    std::vector<CloudMachine> listed_;
+    bool reading_kinds_ = false;
+    Ms kinds_at_ = 0;
+    Ms watch_at_ = 0;
+    std::map<std::string, Ms> strays_;  // not in the registry -> since when
+};
+
+}  // namespace walkford
--- /dev/null
+++ b/src/coordination/core.hpp
@@ -0,0 +1,93 @@
+// What the parts of one controller's core share.
+#pragma once
+
+#include <random>
+
+#include "coordination/io.hpp"
+#include "coordination/policy.hpp"
+#include "coordination/state_desk.hpp"
+
+namespace walkford {
+
+// Pairs replies with what waits for them; a reply to a call that nobody remembers is dropped.
+template <typename Reply>
+class CallDesk {
+  public:
+    using Then = std::function<void(Ms, const Reply&)>;
+    CallId open(Then then) {
+        CallId id = next_++;
+        pending_.emplace(id, std::move(then));
+        return id;
+    }
+    void reply(Ms now, const Reply& reply) {
+        auto it = pending_.find(reply.call);
+        if (it == pending_.end()) return;
+        Then then = std::move(it->second);
+        pending_.erase(it);
+        then(now, reply);
+    }
+    std::size_t open_calls() const { return pending_.size(); }
+
+  private:
+    CallId next_ = 1;
+    std::unordered_map<CallId, Then> pending_;
+};
+
+// Calls to the cloud, paced below its limit; giving back and listing wait like the rest.
+class CloudDesk {
+  public:
+    explicit CloudDesk(double rps) : rate_(rps * 0.8), tokens_(rate_) {}
+    using Then = CallDesk<CloudReply>::Then;
+    void call(CloudCall call, Then then) { queue_.push_back({std::move(call), std::move(then)}); }
+    void pump(Ms now, Outputs& out) {
+        tokens_ = std::min(std::max(1.0, rate_),
+                           tokens_ + rate_ * static_cast<double>(now - refilled_) / 1000.0);
+        refilled_ = now;
+        while (!queue_.empty() && tokens_ >= 1.0) {
+            tokens_ -= 1.0;
+            auto [call, then] = std::move(queue_.front());
+            queue_.pop_front();
+            call.call = desk_.open(std::move(then));
+            out.emplace_back(std::move(call));
+        }
+    }
+    void reply(Ms now, const CloudReply& r) { desk_.reply(now, r); }
+    void clear() { queue_.clear(); }
+
+  private:
+    double rate_;
+    double tokens_;
+    Ms refilled_ = 0;
+    std::deque<std::pair<CloudCall, Then>> queue_;
+    CallDesk<CloudReply> desk_;
+};
+
+struct Core {
+    Core(Platform p, Policy q, std::uint64_t seed)
+        : platform(std::move(p)),
+          policy(std::move(q)),
+          view(names),
+          state(platform.state_write_rps, static_cast<std::uint32_t>(platform.peers.size() + 1)),
+          cloud(platform.cloud_rps),
+          rng(seed) {
+        for (const Team& t : platform.teams) names.teams.intern(t.name);
+        for (const std::string& z : platform.zones) names.zones.intern(z);
+    }
+    Platform platform;
+    Policy policy;
+    Names names;
+    View view;
+    StateDesk state;
+    CloudDesk cloud;
+    CallDesk<WorkerReply> workers;
+    std::vector<Kind> kinds;  // empty: not known yet
+    std::mt19937_64 rng;
+    Outputs out;
+
+    // Reads microseconds spent; injected, so that tests stay the same every time.
+    std::function<std::int64_t()> stopwatch = [] { return 0; };
+
+    Ms jitter(Ms most) { return std::uniform_int_distribution<Ms>(0, most)(rng); }
+};
+
+}  // namespace walkford
--- /dev/null
+++ b/src/coordination/io.hpp
@@ -0,0 +1,204 @@
+// What goes into the core and what comes out, in the domain's words. Transport and protocol turn
+// these into bytes and back.
+#pragma once
+
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "bookkeeping/books.hpp"
+#include "bookkeeping/view.hpp"
+
+namespace walkford {
+
+using RequestId = std::uint64_t;
+using CallId = std::uint64_t;
+
+// ---- inputs
+
+struct SubmitRequest {
+    RequestId request = 0;
+    JobSpec spec;
+    // What can only be judged with the machine types known.
+    bool zone_named = false;
+    std::string zone_name;
+    bool kinds_named = false;
+    std::vector<std::string> kind_names;
+    std::string team_name;
+    std::string image_name;
+};
+struct PollRequest {
+    RequestId request = 0;
+    std::string id;
+};
+struct CancelRequest {
+    RequestId request = 0;
+    std::string id;
+};
+struct ReadyRequest {
+    RequestId request = 0;
+};
+
+struct WorkerReport {
+    std::string machine;
+    std::string address;
+    std::string kind;
+    std::string zone;
+    bool spot = false;
+    std::uint64_t session = 0;
+    std::uint64_t tick = 0;
+    std::uint64_t token = 0;
+    std::optional<double> notice_s;
+    std::vector<ReportedTask> tasks;
+};
+struct BeatRequest {
+    RequestId request = 0;
+    WorkerReport report;
+};
+
+struct StateReply {
+    CallId call = 0;
+    int status = 0;  // 0: no answer; it may have happened, or may happen later
+    std::uint64_t revision = 0;
+    std::uint64_t lease = 0;
+    std::vector<StateRow> rows;
+    bool more = false;
+    std::vector<std::string> failed;
+};
+
+struct CloudMachine {
+    std::string name;
+    std::string address;
+    std::string kind;
+    std::string zone;
+    bool spot = false;
+    CloudStatus status = CloudStatus::unlisted;
+    double age_s = 0;
+};
+struct CloudReply {
+    CallId call = 0;
+    int status = 0;
+    std::vector<Kind> kinds;
+    std::vector<std::string> names;
+    std::vector<CloudMachine> machines;
+    bool more = false;
+};
+
+struct WorkerReply {
+    CallId call = 0;
+    int status = 0;
+    std::optional<WorkerReport> report;
+};
+
+// The small facts that controllers tell one another.
+struct PeerFact {
+    std::string node;
+    std::string incarnation;
+    std::uint64_t sequence = 0;
+    std::uint64_t echo = 0;          // the last sequence heard from the receiver
+    std::string echo_incarnation;    // ... of that incarnation of it
+    std::uint64_t token = 0;         // the highest known
+    std::string leader;              // and whose it is
+    std::int64_t state_quiet_ms = -1;  // since the state service last answered; -1: never did
+    std::int64_t up_ms = 0;
+};
+struct PeerInput {
+    std::size_t peer = 0;
+    PeerFact fact;
+};
+struct TickInput {};
+
+using Input = std::variant<TickInput, SubmitRequest, PollRequest, CancelRequest, ReadyRequest,
+                           BeatRequest, StateReply, CloudReply, WorkerReply, PeerInput>;
+
+// ---- outputs
+
+struct UserAnswer {
+    RequestId request = 0;
+    int code = 503;
+    std::string id;
+    JobStatus status = JobStatus::pending;
+    std::uint32_t done = 0;
+    std::uint32_t running = 0;
+    bool with_counts = false;
+    int retry_after_s = 0;
+    std::string error;
+};
+
+enum class OrderVerb : std::uint8_t { run, halt, clear };
+struct Order {
+    OrderVerb verb = OrderVerb::run;
+    std::string job;
+    std::uint32_t task = 0;
+    std::uint32_t attempt = 0;
+    double grace_s = 0;
+};
+struct BeatAnswer {
+    RequestId request = 0;
+    int code = 503;
+    std::uint64_t token = 0;
+    std::vector<Order> orders;
+    std::string leader;  // with 421, when known
+};
+
+struct Condition {
+    std::string key;
+    std::uint64_t stamp = 0;
+};
+struct Write {
+    std::string key;
+    std::optional<Json> value;  // nothing: drop
+    std::uint64_t lease = 0;
+};
+struct Txn {
+    std::vector<Condition> conditions;
+    std::vector<Write> writes;
+};
+enum class StateVerb : std::uint8_t { get, list, txn, lease_grant, lease_touch, lease_drop, changes };
+struct StateCall {
+    CallId call = 0;
+    StateVerb verb = StateVerb::get;
+    std::string key;  // get; or the prefix of list and changes
+    std::string after_key;
+    std::uint64_t after = 0;
+    std::int64_t wait_ms = 0;
+    std::uint64_t lease = 0;
+    std::int64_t ttl_ms = 0;
+    Txn txn;
+};
+
+enum class CloudVerb : std::uint8_t { kinds, hire, give_back, list };
+struct CloudCall {
+    CallId call = 0;
+    CloudVerb verb = CloudVerb::list;
+    std::string hire;
+    std::string kind;
+    std::string zone;
+    bool spot = false;
+    std::uint32_t count = 0;
+    std::vector<std::string> names;
+    std::string after;
+};
+
+struct WorkerCall {
+    CallId call = 0;
+    std::string address;
+    std::uint64_t token = 0;
+    std::uint64_t session = 0;
+    std::vector<Order> orders;
+};
+
+struct PeerSend {
+    std::size_t peer = 0;
+    PeerFact fact;
+};
+struct WakeAt {
+    Ms at = 0;
+};
+
+using Output =
+    std::variant<UserAnswer, BeatAnswer, StateCall, CloudCall, WorkerCall, PeerSend, WakeAt>;
+using Outputs = std::vector<Output>;
+
+}  // namespace walkford
--- /dev/null
+++ b/src/coordination/leader.cpp
@@ -0,0 +1,311 @@
+#include "coordination/leader.hpp"
+
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+
+namespace walkford {
+
+namespace {
+constexpr std::size_t kMostWritesOpen = 24;
+constexpr Ms kRetry = 250;
+}  // namespace
+
+void Fates::lost(TaskRef ref, Ms now, const char* why) {
+    Books& books = term_.books;
+    Job& j = books.jobs[ref.job];
+    Task& t = books.task(ref);
+    if (t.machine == kNone) return;
+    spdlog::debug("{}/{} attempt {} off {}: {}", j.spec.id, ref.task, t.attempt,
+                  books.machines[t.machine].name, why);
+    books.requeue(ref, now);
+    term_.place_now = true;
+    // A gang that lost a task goes nowhere: the rest is stopped, and all start anew together.
+    if (j.spec.gang && j.spec.tasks > 1 && j.placed > 0) halt_job(ref.job, 0, now, true);
+}
+
+void Fates::machine_emptied(Id machine, Ms now, const char* why) {
+    auto& tasks = term_.books.machines[machine].tasks;
+    while (!tasks.empty()) lost(*tasks.begin(), now, why);
+}
+
+void Fates::halt(TaskRef ref, double grace, Ms now, bool excused) {
+    Books& books = term_.books;
+    Job& j = books.jobs[ref.job];
+    if (j.spec.gang && j.spec.tasks > 1) {
+        halt_job(ref.job, grace, now, excused);
+        return;
+    }
+    Task& t = books.task(ref);
+    if (t.machine == kNone) return;
+    if (t.halting) {
+        t.halt_grace = std::min(t.halt_grace, static_cast<float>(grace));
+        return;
+    }
+    t.halting = true;
+    t.excused = excused;
+    t.halt_grace = static_cast<float>(grace);
+    t.halt_told = -1;
+    if (t.phase == Phase::placed && !t.inherited) lost(ref, now, "never started");
+}
+
+void Fates::halt_job(Id job, double grace, Ms now, bool excused) {
+    Books& books = term_.books;
+    Job& j = books.jobs[job];
+    std::vector<TaskRef> unsent;
+    for (std::uint32_t c = 0; c < j.chunks.size(); ++c) {
+        if (!j.chunks[c]) continue;
+        for (std::uint32_t i = 0; i < j.chunks[c]->tasks.size(); ++i) {
+            Task& t = j.chunks[c]->tasks[i];
+            if (t.machine == kNone) continue;
+            if (t.halting) {
+                t.halt_grace = std::min(t.halt_grace, static_cast<float>(grace));
+                continue;
+            }
+            t.halting = true;
+            t.excused = excused;
+            t.halt_grace = static_cast<float>(grace);
+            t.halt_told = -1;
+            if (t.phase == Phase::placed && !t.inherited) {
+                unsent.push_back({job, c * j.spec.chunk + i});
+            }
+        }
+    }
+    for (TaskRef ref : unsent) {
+        books.requeue(ref, now);
+        term_.place_now = true;
+    }
+}
+
+Leader::Leader(Core& core, std::uint64_t token, Ms now)
+    : term_(core, token, now),
+      fates_(term_),
+      cloud_(term_, fates_),
+      workers_(term_, fates_),
+      placer_(term_),
+      scaler_(term_) {
+    Books& books = term_.books;
+    books.set_kinds(core.kinds);
+    // Machines first: placements name them.
+    cloud_.load(now);
+    for (const auto& [id, view] : core.view.jobs()) {
+        books.load_job(view, core.view.chunks(id), now);
+    }
+    for (Id j = 0; j < books.jobs.size(); ++j) {
+        if (books.jobs[j].cancelled) fates_.halt_job(j, 0, now, true);
+    }
+    for (const auto& [id, list] : core.view.all_chunks()) {
+        if (core.view.job(id)) continue;
+        std::vector<std::uint32_t> left;
+        for (const auto& [index, chunk] : list) left.push_back(index);
+        drop_chunks(id, std::move(left));
+    }
+    std::size_t placed = 0;
+    for (const Machine& m : books.machines) placed += m.tasks.size();
+    spdlog::info("term {} begins: {} jobs, {} machines, {} tasks placed", token,
+                 core.view.jobs().size(), books.machines.size(), placed);
+}
+
+Leader::~Leader() { term_.core.cloud.clear(); }
+
+void Leader::set_rights(bool act, Ms answer_until) {
+    term_.act = act;
+    term_.answer_until = answer_until;
+}
+
+void Leader::beat(Ms now, const BeatRequest& beat) { workers_.beat(now, beat); }
+
+void Leader::job_changed(Ms now, const std::string& id) {
+    Books& books = term_.books;
+    const JobView* view = term_.core.view.job(id);
+    Id job = books.find_job(id);
+    if (!view) {
+        // Only a leader's own transaction takes a job away, once all its tasks are gone or done.
+        if (job != kNone && books.jobs[job].placed == 0) books.remove_job(job);
+        return;
+    }
+    if (job == kNone) {
+        books.load_job(*view, term_.core.view.chunks(id), now);
+        term_.place_now = true;
+        return;
+    }
+    Job& j = books.jobs[job];
+    j.stamp = view->stamp;
+    if (view->record.cancelled && !j.cancelled) {
+        j.cancelled = true;
+        fates_.halt_job(job, 0, now, true);
+        spdlog::debug("{} cancelled, {} tasks to stop", id, j.placed);
+    }
+}
+
+void Leader::tick(Ms now) {
+    workers_.tick(now);
+    cloud_.tick(now);
+    if (now >= settle_at_) {
+        settle_at_ = now + 100;
+        settle_jobs(now);
+    }
+    if (term_.act) {
+        placer_.round(now, workers_);
+        scaler_.tick(now, workers_, cloud_);
+        write_chunks(now);
+    }
+}
+
+void Leader::write_chunks(Ms now) {
+    Books& books = term_.books;
+    std::vector<std::pair<Id, std::uint32_t>> due;
+    for (const auto& [job, index] : books.dirty) {
+        if (writes_open_ + due.size() >= kMostWritesOpen) break;
+        const Job& j = books.jobs[job];
+        if (!j.alive || j.ending) continue;
+        // The final record makes this one needless.
+        if (j.done == j.spec.tasks || (j.cancelled && j.placed == 0)) continue;
+        const Chunk& c = books.chunk(job, index);
+        if (c.in_flight || now < c.retry_at) continue;
+        due.emplace_back(job, index);
+    }
+    for (auto [job, index] : due) write_chunk(now, job, index);
+}
+
+void Leader::write_chunk(Ms, Id job, std::uint32_t index) {
+    Books& books = term_.books;
+    Job& j = books.jobs[job];
+    Chunk& c = books.chunk(job, index);
+    std::vector<TaskRecord> records = books.snapshot(job, index);
+    bool placement = false;
+    for (const Task& t : c.tasks) {
+        if (t.machine != kNone && !t.durable_here()) placement = true;
+    }
+    Txn txn;
+    std::string key = keys::chunk(j.spec.id, index);
+    txn.conditions = {{keys::kLeader, term_.token}, {keys::job(j.spec.id), j.stamp}, {key, c.stamp}};
+    txn.writes = {{key, encode_chunk(records), 0}};
+    c.in_flight = true;
+    ++writes_open_;
+    books.dirty.erase({job, index});
+    term_.core.state.txn(
+        placement ? Urgency::placement : Urgency::progress, std::move(txn),
+        [this, alive = std::weak_ptr<bool>(term_.alive), job, index, id = j.spec.id,
+         records = std::move(records), key](Ms at, const StateReply& r) {
+            if (alive.expired()) return;
+            --writes_open_;
+            Books& b = term_.books;
+            if (b.find_job(id) != job) return;  // ended meanwhile
+            Chunk& chunk = b.chunk(job, index);
+            chunk.in_flight = false;
+            if (r.status == 200) {
+                b.commit(job, index, records, r.revision);
+                if (b.snapshot(job, index) != records) b.dirty.insert({job, index});
+                return;
+            }
+            b.dirty.insert({job, index});
+            chunk.retry_at = at + kRetry;
+            if (r.status != 409) return;  // the same conditions again: at most one copy takes effect
+            for (const std::string& failed : r.failed) {
+                if (failed == keys::kLeader) {
+                    term_.depose(at, "a write found another leader");
+                    return;
+                }
+                if (failed == keys::job(id)) term_.refresh(at);
+                if (failed != key) continue;
+                // An earlier copy of one of our writes got there: what stands there counts.
+                chunk.in_flight = true;
+                term_.core.state.get(
+                    key,
+                    [this, alive, job, index, id](Ms, const StateReply& got) {
+                        if (alive.expired()) return;
+                        Books& bk = term_.books;
+                        if (bk.find_job(id) != job) return;
+                        Chunk& ck = bk.chunk(job, index);
+                        ck.in_flight = false;
+                        if (got.status == 200 && got.rows.size() == 1 && got.rows[0].value) {
+                            std::vector<TaskRecord> stored(ck.tasks.size());
+                            if (decode_chunk(*got.rows[0].value, stored)) {
+                                bk.commit(job, index, stored, got.rows[0].stamp);
+                            }
+                        } else if (got.status == 404) {
+                            ck.stamp = 0;
+                        }
+                    },
+                    term_.core.out);
+            }
+        });
+}
+
+void Leader::settle_jobs(Ms now) {
+    if (!term_.act) return;
+    Books& books = term_.books;
+    for (Id id = 0; id < books.jobs.size(); ++id) {
+        Job& j = books.jobs[id];
+        if (!j.alive || j.ending || now < j.retry_at) continue;
+        if (j.cancelled) {
+            if (j.placed == 0) end_job(now, id, true);
+        } else if (j.done == j.spec.tasks) {
+            end_job(now, id, false);
+        }
+    }
+}
+
+void Leader::end_job(Ms, Id job, bool cancelled) {
+    Books& books = term_.books;
+    Job& j = books.jobs[job];
+    j.ending = true;
+    Txn txn;
+    txn.conditions = {{keys::kLeader, term_.token}, {keys::job(j.spec.id), j.stamp}};
+    txn.writes = {{keys::ended(j.spec.id), encode_ended({cancelled, j.spec.tasks}), 0},
+                  {keys::job(j.spec.id), std::nullopt, 0}};
+    std::vector<std::uint32_t> left;
+    for (std::uint32_t c = 0; c < j.chunks.size(); ++c) {
+        if (!j.chunks[c] || (j.chunks[c]->stamp == 0 && !j.chunks[c]->in_flight)) continue;
+        if (txn.writes.size() < term_.core.platform.txn_ops) {
+            txn.writes.push_back({keys::chunk(j.spec.id, c), std::nullopt, 0});
+        } else {
+            left.push_back(c);
+        }
+    }
+    term_.core.state.txn(
+        Urgency::done, std::move(txn),
+        [this, alive = std::weak_ptr<bool>(term_.alive), job, id = j.spec.id, cancelled,
+         left = std::move(left)](Ms at, const StateReply& r) {
+            if (alive.expired()) return;
+            Books& b = term_.books;
+            bool ours = b.find_job(id) == job;
+            if (r.status == 200) {
+                spdlog::info("{} {}", id, cancelled ? "cancelled, all tasks gone" : "done");
+                term_.core.view.remember_ended(id, {cancelled, ours ? b.jobs[job].spec.tasks : 0});
+                if (ours) b.remove_job(job);
+                drop_chunks(id, left);
+                return;
+            }
+            if (!ours) return;
+            b.jobs[job].ending = false;
+            b.jobs[job].retry_at = at + kRetry;
+            if (r.status != 409) return;
+            for (const std::string& failed : r.failed) {
+                if (failed == keys::kLeader) {
+                    term_.depose(at, "a write found another leader");
+                    return;
+                }
+            }
+            term_.refresh(at);  // cancelled meanwhile, or an earlier copy of this write took effect
+        });
+}
+
+void Leader::drop_chunks(const std::string& id, std::vector<std::uint32_t> left) {
+    if (left.empty()) return;
+    Txn txn;
+    txn.conditions = {{keys::kLeader, term_.token}, {keys::job(id), 0}};
+    while (!left.empty() && txn.writes.size() < term_.core.platform.txn_ops) {
+        txn.writes.push_back({keys::chunk(id, left.back()), std::nullopt, 0});
+        left.pop_back();
+    }
+    term_.core.state.txn(Urgency::progress, std::move(txn),
+                         [this, alive = std::weak_ptr<bool>(term_.alive), id,
+                          left = std::move(left)](Ms, const StateReply& r) {
+                             if (alive.expired() || r.status != 200) return;  // the next term tidies
+                             drop_chunks(id, left);
+                         });
+}
+
+}  // namespace walkford
--- /dev/null
+++ b/src/coordination/leader.hpp
@@ -0,0 +1,77 @@
+// What the leader alone does: books, placing, scaling, and the dialogues with workers and cloud.
+// It lives from election to deposition; nothing in it outlives its token.
+#pragma once
+
+#include "coordination/core.hpp"
+#include "coordination/cloud_dialogue.hpp"
+#include "coordination/placer.hpp"
+#include "coordination/scaler.hpp"
+#include "coordination/worker_dialogue.hpp"
+
+namespace walkford {
+
+// What the parts of the leader share.
+struct Term {
+    Core& core;
+    Books books;
+    std::uint64_t token = 0;
+    Ms elected_at = 0;
+    bool act = false;     // our lease is surely ours: start, rent and write
+    Ms answer_until = 0;  // until then beats may be answered 200
+    bool place_now = true;
+    std::function<void(Ms, const char*)> depose;
+    std::function<void(Ms)> refresh;  // asks for a proven view
+    // Calls that outlive the term find this gone.
+    std::shared_ptr<bool> alive = std::make_shared<bool>(true);
+
+    Term(Core& c, std::uint64_t t, Ms now)
+        : core(c), books(c.names, c.platform.teams), token(t), elected_at(now) {}
+};
+
+// Takes what went wrong with a task, in one place for all who find it out.
+class Fates {
+  public:
+    explicit Fates(Term& term) : term_(term) {}
+    // The task is proven gone without a result.
+    void lost(TaskRef ref, Ms now, const char* why);
+    // Everything on the machine is proven gone.
+    void machine_emptied(Id machine, Ms now, const char* why);
+    // Stops a task; one whose start was never sent is gone at once.
+    void halt(TaskRef ref, double grace, Ms now, bool excused);
+    void halt_job(Id job, double grace, Ms now, bool excused);
+
+  private:
+    Term& term_;
+};
+
+class Leader {
+  public:
+    Leader(Core& core, std::uint64_t token, Ms now);
+    ~Leader();
+    Leader(const Leader&) = delete;
+    Leader& operator=(const Leader&) = delete;
+
+    void set_rights(bool act, Ms answer_until);
+    void tick(Ms now);
+    void job_changed(Ms now, const std::string& id);
+    void beat(Ms now, const BeatRequest& beat);
+    Term& term() { return term_; }
+
+  private:
+    void write_chunks(Ms now);
+    void write_chunk(Ms now, Id job, std::uint32_t index);
+    void settle_jobs(Ms now);
+    void end_job(Ms now, Id job, bool cancelled);
+    void drop_chunks(const std::string& id, std::vector<std::uint32_t> left);
+
+    Term term_;
+    Fates fates_;
+    CloudDialogue cloud_;
+    WorkerDialogue workers_;
+    Placer placer_;
+    Scaler scaler_;
+    std::size_t writes_open_ = 0;
+    Ms settle_at_ = 0;
+};
+
+}  // namespace walkford
--- /dev/null
+++ b/src/coordination/leadership.hpp
@@ -0,0 +1,45 @@
+// Who leads: a key on a lease of the state service. Its stamp is the token that workers obey.
+#pragma once
+
+#include "coordination/view_keeper.hpp"
+
+namespace walkford {
+
+class Leadership {
+  public:
+    Leadership(Core& core, ViewKeeper& keeper) : core_(core), keeper_(keeper) {}
+
+    void tick(Ms now);
+    void view_changed(Ms now);
+    // A higher token is in force: whoever holds a lower one is deposed at once.
+    void heard_token(Ms now, std::uint64_t token, const std::string& leader);
+    void depose(Ms now, const char* why);
+
+    bool leading() const { return token_ != 0; }
+    std::uint64_t token() const { return token_; }
+    // Our lease is surely still ours.
+    bool valid(Ms now) const { return token_ != 0 && now < valid_until_; }
+    std::uint64_t known_token() const { return known_token_; }
+    const std::string& known_leader() const { return known_leader_; }
+
+    std::function<void(Ms)> on_elected;
+    std::function<void(Ms)> on_deposed;
+
+  private:
+    void campaign(Ms now);
+    void touch(Ms now);
+
+    Core& core_;
+    ViewKeeper& keeper_;
+    std::uint64_t token_ = 0;
+    std::uint64_t lease_ = 0;
+    Ms valid_until_ = -1;
+    Ms touch_at_ = 0;
+    bool touching_ = false;
+    bool campaigning_ = false;
+    Ms campaign_at_ = -1;
+    std::uint64_t known_token_ = 0;
+    std::string known_leader_;
+};
+
+}  // namespace walkford
--- /dev/null
+++ b/src/coordination/node.cpp
@@ -0,0 +1,231 @@
+#include "coordination/node.hpp"
+
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+
+namespace walkford {
+
+namespace {
+constexpr Ms kTick = 50;
+constexpr Ms kTellEvery = 500;
+constexpr Ms kProveEvery = 1000;
+// From the last moment we answer a beat until a cut-off machine's tasks are surely gone: its lease,
+// drift, and what a report and an answer take on their way.
+constexpr Ms kCancelMargin = 2500;
+}  // namespace
+
+Node::Node(Platform platform, Policy policy, std::uint64_t seed)
+    : core_(std::move(platform), std::move(policy), seed),
+      keeper_(core_),
+      leadership_(core_, keeper_),
+      users_(core_, keeper_),
+      peers_(core_.platform.peers.size()) {
+    keeper_.on_change = [this](Ms now, const std::string& key) { view_changed(now, key); };
+    leadership_.on_elected = [this](Ms now) {
+        // The books are built from a view that is newer than our own election.
+        keeper_.barrier(now, [this, token = leadership_.token()](Ms at, bool ok) {
+            if (!leadership_.leading() || leadership_.token() != token) return;
+            if (!ok || core_.view.revision() < token) {
+                leadership_.depose(at, "the state could not be read after the election");
+                return;
+            }
+            leader_ = std::make_unique<Leader>(core_, token, at);
+            leader_->term().depose = [this](Ms, const char* why) {
+                // Not at once: the caller is a part of the leader.
+                depose_now_ = true;
+                deposed_why_ = why;
+            };
+            leader_->term().refresh = [this](Ms when) {
+                keeper_.barrier(when, [](Ms, bool) {});
+            };
+            set_rights(at);
+        });
+    };
+    leadership_.on_deposed = [this](Ms) { leader_.reset(); };
+}
+
+Outputs Node::step(Ms now, const Input& input) {
+    if (started_ < 0) started_ = now;
+    std::visit(
+        [&](const auto& in) {
+            using T = std::decay_t<decltype(in)>;
+            if constexpr (std::is_same_v<T, SubmitRequest>) {
+                users_.submit(now, in);
+            } else if constexpr (std::is_same_v<T, PollRequest>) {
+                users_.poll(now, in);
+            } else if constexpr (std::is_same_v<T, CancelRequest>) {
+                users_.cancel(now, in);
+            } else if constexpr (std::is_same_v<T, ReadyRequest>) {
+                UserAnswer a;
+                a.request = in.request;
+                a.code = ready(now) ? 200 : 503;
+                a.error = a.code == 200 ? "" : "not ready";
+                core_.out.emplace_back(std::move(a));
+            } else if constexpr (std::is_same_v<T, BeatRequest>) {
+                beat(now, in);
+            } else if constexpr (std::is_same_v<T, StateReply>) {
+                core_.state.reply(now, in);
+            } else if constexpr (std::is_same_v<T, CloudReply>) {
+                core_.cloud.reply(now, in);
+            } else if constexpr (std::is_same_v<T, WorkerReply>) {
+                core_.workers.reply(now, in);
+            } else if constexpr (std::is_same_v<T, PeerInput>) {
+                hear(now, in.peer, in.fact);
+            }
+        },
+        input);
+    tick(now);
+    if (depose_now_) {
+        depose_now_ = false;
+        leadership_.depose(now, deposed_why_.c_str());
+    }
+    core_.state.pump(now, core_.out);
+    core_.cloud.pump(now, core_.out);
+    core_.out.emplace_back(WakeAt{now + kTick});
+    Outputs out = std::move(core_.out);
+    core_.out.clear();
+    return out;
+}
+
+void Node::view_changed(Ms now, const std::string& key) {
+    if (core_.view.kinds && (core_.kinds.empty() || key == keys::kKinds)) {
+        if (core_.kinds.empty()) core_.kinds = decode_kinds(*core_.view.kinds, core_.names);
+    }
+    if (key == keys::kLeader || key.empty()) leadership_.view_changed(now);
+    if (!leader_) return;
+    if (key.rfind(keys::kJobs, 0) == 0) {
+        leader_->job_changed(now, key.substr(keys::kJobs.size()));
+    } else if (key.empty()) {
+        // The whole state was read again: any job may have changed.
+        std::vector<std::string> ids;
+        for (const auto& [id, job] : core_.view.jobs()) ids.push_back(id);
+        for (const Job& j : leader_->term().books.jobs) {
+            if (j.alive && !core_.view.job(j.spec.id)) ids.push_back(j.spec.id);
+        }
+        for (const std::string& id : ids) leader_->job_changed(now, id);
+    }
+}
+
+// The last moment up to which it is proven that our view holds every cancellation told to a user:
+// our own last reading, or, in an outage that all nodes see, what every peer vouches for.
+Ms Node::horizon() const {
+    Ms own = keeper_.proven_at();
+    if (own < 0 || peers_.empty()) return own;
+    Ms all = std::numeric_limits<Ms>::max();
+    for (const PeerState& p : peers_) {
+        Ms until = p.quiet_since >= 0 && p.quiet_since <= own ? p.quiet_until : -1;
+        all = std::min(all, until);
+    }
+    return std::max(own, all);
+}
+
+void Node::set_rights(Ms now) {
+    if (!leader_) return;
+    const Platform& p = core_.platform;
+    Ms span = to_ms(p.cancel_s) - with_drift(to_ms(p.lease_s)) - kCancelMargin;
+    leader_->set_rights(leadership_.valid(now), horizon() + std::max<Ms>(0, span));
+}
+
+void Node::tick(Ms now) {
+    keeper_.tick(now);
+    leadership_.tick(now);
+    users_.tick(now);
+    if (leader_ && now >= barrier_at_) {
+        // Proves every second that no cancellation was missed, whatever the watch does.
+        barrier_at_ = now + kProveEvery;
+        keeper_.barrier(now, [](Ms, bool) {});
+    }
+    set_rights(now);
+    if (leader_) leader_->tick(now);
+    if (now >= tell_at_) tell_peers(now);
+    bool is_ready = ready(now);
+    if (is_ready != was_ready_) {
+        was_ready_ = is_ready;
+        spdlog::info("{} for users", is_ready ? "ready" : "not ready");
+    }
+}
+
+bool Node::ready(Ms now) const {
+    if (!keeper_.ready() || core_.kinds.empty()) return false;
+    // An outage that all nodes see takes no node out. One that is refused alone steps out: a peer
+    // tells that it is served.
+    if (core_.state.refused() < 3 || now - core_.state.last_reached() < 1500) return true;
+    for (const PeerState& p : peers_) {
+        if (p.heard_at < 0 || now - p.heard_at > 1500) continue;
+        if (p.last.state_quiet_ms >= 0 && p.last.state_quiet_ms + (now - p.heard_at) < 1500) {
+            return false;
+        }
+    }
+    return true;
+}
+
+void Node::beat(Ms now, const BeatRequest& q) {
+    if (q.report.token > leadership_.known_token()) {
+        leadership_.heard_token(now, q.report.token, "");
+    }
+    if (leader_) {
+        leader_->beat(now, q);
+        return;
+    }
+    BeatAnswer a;
+    a.request = q.request;
+    if (leadership_.leading()) {
+        a.code = 503;  // elected, the books are being built
+    } else {
+        a.code = 421;
+        const std::string& leader = leadership_.known_leader();
+        if (!leader.empty() && leader != core_.platform.node_name) a.leader = leader;
+    }
+    core_.out.emplace_back(std::move(a));
+}
+
+void Node::tell_peers(Ms now) {
+    tell_at_ = now + kTellEvery;
+    ++sequence_;
+    for (std::size_t i = 0; i < peers_.size(); ++i) {
+        PeerState& p = peers_[i];
+        PeerFact f;
+        f.node = core_.platform.node_name;
+        f.incarnation = core_.platform.incarnation;
+        f.sequence = sequence_;
+        f.echo = p.last.sequence;
+        f.echo_incarnation = p.last.incarnation;
+        f.token = leadership_.known_token();
+        f.leader = leadership_.known_leader();
+        Ms reached = core_.state.last_reached();
+        f.state_quiet_ms = reached < 0 ? -1 : now - reached;
+        f.up_ms = now - started_;
+        p.sent[sequence_] = now;
+        while (p.sent.size() > 240) p.sent.erase(p.sent.begin());
+        core_.out.emplace_back(PeerSend{i, std::move(f)});
+    }
+}
+
+void Node::hear(Ms now, std::size_t peer, const PeerFact& f) {
+    if (peer >= peers_.size()) return;
+    PeerState& p = peers_[peer];
+    if (f.incarnation == p.last.incarnation && f.sequence <= p.last.sequence) return;
+    p.last = f;
+    p.heard_at = now;
+    if (f.token > 0) leadership_.heard_token(now, f.token, f.leader);
+    // It wrote this after it had our echoed message, so its silence held at least until we sent
+    // that. A process vouches for its own life only: what an earlier one did is unknown.
+    if (f.echo_incarnation != core_.platform.incarnation) return;
+    auto it = p.sent.find(f.echo);
+    if (it == p.sent.end()) return;
+    Ms quiet = f.state_quiet_ms < 0 ? f.up_ms : std::min(f.state_quiet_ms, f.up_ms);
+    Ms since = now - (quiet - quiet / 1000);
+    Ms until = it->second;
+    if (since > until) return;
+    if (p.quiet_until >= since && p.quiet_since >= 0 && f.state_quiet_ms != 0) {
+        // One unbroken silence, as far as it was vouched for before.
+        p.quiet_since = std::min(p.quiet_since, since);
+        p.quiet_until = std::max(p.quiet_until, until);
+    } else {
+        p.quiet_since = since;
+        p.quiet_until = until;
+    }
+}
+
+}  // namespace walkford
--- /dev/null
+++ b/src/coordination/node.hpp
@@ -0,0 +1,58 @@
+// One controller's core: a state machine. step() takes an input and returns what to send, write
+// and answer; it knows no socket and no clock, and is the same every time for the same inputs.
+#pragma once
+
+#include "coordination/leader.hpp"
+#include "coordination/leadership.hpp"
+#include "coordination/user_desk.hpp"
+
+namespace walkford {
+
+class Node {
+  public:
+    Node(Platform platform, Policy policy, std::uint64_t seed);
+    Outputs step(Ms now, const Input& input);
+
+    void set_stopwatch(std::function<std::int64_t()> microseconds) {
+        core_.stopwatch = std::move(microseconds);
+    }
+    bool leading() const { return leader_ != nullptr; }
+    bool ready(Ms now) const;
+    const View& view() const { return core_.view; }
+    Names& names() { return core_.names; }
+    // For checks from outside; null unless leading.
+    const Books* books() const { return leader_ ? &leader_->term().books : nullptr; }
+
+  private:
+    struct PeerState {
+        PeerFact last;
+        Ms heard_at = -1;
+        Ms quiet_since = -1;  // it had not reached the state service from then...
+        Ms quiet_until = -1;  // ... until then, by our clock
+        std::map<std::uint64_t, Ms> sent;  // our sequences -> when
+    };
+
+    void tick(Ms now);
+    void beat(Ms now, const BeatRequest& beat);
+    void hear(Ms now, std::size_t peer, const PeerFact& fact);
+    void tell_peers(Ms now);
+    Ms horizon() const;
+    void set_rights(Ms now);
+    void view_changed(Ms now, const std::string& key);
+
+    Core core_;
+    ViewKeeper keeper_;
+    Leadership leadership_;
+    UserDesk users_;
+    std::unique_ptr<Leader> leader_;
+    std::vector<PeerState> peers_;
+    Ms started_ = -1;
+    Ms tell_at_ = 0;
+    Ms barrier_at_ = 0;
+    std::uint64_t sequence_ = 0;
+    bool was_ready_ = false;
+    std::string deposed_why_;
+    bool depose_now_ = false;
+};
+
+}  // namespace walkford
--- /dev/null
+++ b/src/coordination/policy.hpp
@@ -0,0 +1,66 @@
+// What operators may set, and what the platform hands over.
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "bookkeeping/types.hpp"
+
+namespace walkford {
+
+// The operators' own settings (properties); the defaults stand in deploy/walkford.properties.
+struct Policy {
+    double mark_low = 0.30;
+    double mark_high = 0.85;
+    double out_interval_s = 4;
+    double in_interval_s = 10;
+    std::uint32_t cap_per_kind = 64;
+    std::uint32_t permanent_first = 1;
+    std::string order = "cost";  // cost | cores
+    bool rent_unplaceable = true;
+    double unplaceable_after_s = 0.5;
+    double spot_prefer = 1.0;  // 0: never rent spot
+    double idle_return_s = 45;
+    double idle_keep_price = 0.0;
+    double boot_give_up = 3.5;
+    double boot_late = 1.7;
+    double no_capacity_backoff_s = 15;
+    double lost_return_s = 30;
+    double round_budget_ms = 4;
+    double lease_ttl_s = 4;
+    double takeover_probe_s = 5;
+    double unseen_return_s = 40;
+    bool preempt = true;
+    double preempt_after_s = 4;
+};
+
+struct Peer {
+    std::string name;
+    std::string address;
+};
+
+struct Platform {
+    std::string node_name;
+    std::string incarnation;  // random for every start: never only the node's name
+    std::string serve_on;
+    std::string cluster_listen;
+    std::vector<Peer> peers;
+    std::string cloud;
+    std::string state;
+    std::vector<Team> teams;
+    std::vector<std::string> zones;
+    double report_s = 2;
+    double lease_s = 10;
+    double gang_wait_s = 30;
+    double gang_peer_s = 4;
+    double cancel_s = 30;
+    double state_rps = 100;
+    double state_write_rps = 20;
+    double value_kb = 4;
+    std::uint32_t txn_ops = 8;
+    double cloud_rps = 4;
+    double list_lag_s = 5;
+    std::uint32_t fd_limit = 512;
+};
+
+}  // namespace walkford
--- /dev/null
+++ b/src/coordination/scaler.cpp
@@ -0,0 +1,289 @@
+#include "coordination/scaler.hpp"
+
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+#include <cmath>
+
+#include "coordination/leader.hpp"
+
+namespace walkford {
+
+namespace {
+constexpr Ms kTick = 500;
+constexpr std::uint32_t kTrialTasks = 400;  // a trial packing looks no further
+}  // namespace
+
+bool Scaler::fits(const JobSpec& s, const Room& r) {
+    return s.allows_kind(r.kind) && (s.zone == kNone || s.zone == r.zone) && (s.spot || !r.spot) &&
+           s.each.fits_in(r.free);
+}
+
+void Scaler::survey(Ms now, const WorkerDialogue& workers, const CloudDialogue& cloud) {
+    Books& books = term_.books;
+    const Policy& policy = term_.core.policy;
+    rooms_.clear();
+    measure_ = {};
+    for (Id id = 0; id < books.machines.size(); ++id) {
+        const Machine& m = books.machines[id];
+        const Kind* kind = books.kind(m.kind);
+        if (m.gone || !m.held || !kind) continue;
+        measure_.booked += m.used;
+        bool up = workers.usable(m, now);
+        // One on its way counts as capacity, or the rule rents twice; one that is late does not.
+        bool booting = !m.reported && !m.returning &&
+                       now < m.rented_at + to_ms(kind->boot_s * policy.boot_late) + 3000;
+        bool settling = now < term_.elected_at + 6000 && !m.returning && !m.sick;
+        if (!up && !booting && !settling) {
+            // What is still booked there counts on both sides.
+            measure_.capacity += m.used;
+            continue;
+        }
+        measure_.capacity += kind->size;
+        rooms_.push_back({kind->size - m.used, m.kind, m.zone, m.spot, id, {}});
+    }
+    for (const Hire& h : cloud.hires()) {
+        const Kind* kind = books.kind(h.kind);
+        if (!kind) continue;
+        for (std::uint32_t i = 0; i < h.count; ++i) {
+            measure_.capacity += kind->size;
+            rooms_.push_back({kind->size, h.kind, h.zone, h.spot, kNone, {}});
+        }
+    }
+    // Waiting demand, as far as the teams' limits admit it.
+    waiting_.clear();
+    std::map<Id, Amounts> extra;
+    std::uint32_t tasks = 0;
+    for (Id id : Placer::waiting_order(books, now)) {
+        const Job& j = books.jobs[id];
+        const Team* team = books.team(j.spec.team);
+        if (!team) continue;
+        Amounts& more = extra[j.spec.team];
+        std::uint32_t n = j.waiting();
+        auto room = [](double limit, double used, double each) {
+            if (limit <= 0 || each <= 0) return 1e9;
+            return std::max(0.0, std::floor((limit - used + 1e-6) / each));
+        };
+        Amounts used = books.team_used(j.spec.team) + more;
+        double most = std::min(room(team->limit.cpus, used.cpus, j.spec.each.cpus),
+                               room(team->limit.gpus, used.gpus, j.spec.each.gpus));
+        if (j.spec.gang && most < n) continue;
+        n = static_cast<std::uint32_t>(std::min<double>(n, most));
+        if (n == 0) continue;
+        bool fits_some = std::any_of(books.kinds().begin(), books.kinds().end(), [&](const Kind& k) {
+            return j.spec.allows_kind(k.id) && j.spec.each.fits_in(k.size);
+        });
+        if (!fits_some) continue;
+        more += j.spec.each * n;
+        measure_.waiting += j.spec.each * n;
+        waiting_.push_back({id, n});
+        tasks += n;
+        if (tasks > kTrialTasks) break;
+    }
+    for (int r = 0; r < kResources; ++r) {
+        double want = measure_.booked.get(r) + measure_.waiting.get(r);
+        double have = measure_.capacity.get(r);
+        double share = want <= 1e-9 ? 0 : have <= 1e-9 ? 1e9 : want / have;
+        if (share > measure_.value) {
+            measure_.value = share;
+            measure_.driving = r;
+        }
+    }
+}
+
+std::vector<Scaler::Demand> Scaler::unplaceable(std::vector<Room>& rooms) const {
+    const Books& books = term_.books;
+    std::vector<Demand> left;
+    for (const Demand& d : waiting_) {
+        const JobSpec& s = books.jobs[d.job].spec;
+        std::uint32_t n = d.count;
+        for (Room& r : rooms) {
+            while (n > 0 && fits(s, r)) {
+                r.free -= s.each;
+                ++r.taken[d.job];
+                --n;
+            }
+            if (n == 0) break;
+        }
+        if (n > 0) left.push_back({d.job, n});
+    }
+    return left;
+}
+
+std::vector<Scaler::Option> Scaler::options(const JobSpec* s, int resource, Ms now,
+                                            const CloudDialogue& cloud) const {
+    const Books& books = term_.books;
+    const Policy& policy = term_.core.policy;
+    std::vector<Option> list;
+    for (const Kind& k : books.kinds()) {
+        if (resource >= 0 && k.size.get(resource) <= 0) continue;
+        for (Id zone : k.zones) {
+            for (bool spot : {true, false}) {
+                if (spot && (policy.spot_prefer <= 0 || k.spot_price <= 0)) continue;
+                if (!cloud.can_rent(k.id, zone, spot, now)) continue;
+                auto suits = [&](const JobSpec& spec) {
+                    return fits(spec, Room{k.size, k.id, zone, spot, kNone, {}});
+                };
+                bool any = s ? suits(*s)
+                             : std::any_of(left_.begin(), left_.end(), [&](const Demand& d) {
+                                   return suits(books.jobs[d.job].spec);
+                               });
+                if (!any) continue;
+                list.push_back({k.id, zone, spot, spot ? k.spot_price : k.price, k.size.cpus});
+            }
+        }
+    }
+    // Zones take turns: a wave or a cut takes one zone at a time.
+    std::map<std::pair<Id, Id>, int> held;
+    for (const Machine& m : books.machines) {
+        if (m.held && !m.gone) ++held[{m.kind, m.zone}];
+    }
+    std::stable_sort(list.begin(), list.end(), [&](const Option& a, const Option& b) {
+        auto cost = [&](const Option& o) {
+            const Kind* k = books.kind(o.kind);
+            if (s) {
+                // Price for a task of this job on such a machine.
+                double n = 1e9;
+                if (s->each.cpus > 0) n = std::min(n, std::floor(k->size.cpus / s->each.cpus + 1e-9));
+                if (s->each.ram > 0) n = std::min(n, std::floor(k->size.ram / s->each.ram + 1e-9));
+                if (s->each.gpus > 0) n = std::min(n, std::floor(k->size.gpus / s->each.gpus + 1e-9));
+                return o.price / std::max(1.0, n);
+            }
+            return o.price / std::max(1e-9, k->size.get(resource));
+        };
+        if (policy.order == "cores" && a.cores != b.cores) return a.cores > b.cores;
+        double ca = cost(a), cb = cost(b);
+        if (std::abs(ca - cb) > 1e-9) return ca < cb;
+        return held[{a.kind, a.zone}] < held[{b.kind, b.zone}];
+    });
+    return list;
+}
+
+std::uint32_t Scaler::held_of(Id kind, const CloudDialogue& cloud) const {
+    std::uint32_t n = 0;
+    for (const Machine& m : term_.books.machines) n += m.held && !m.gone && m.kind == kind;
+    for (const Hire& h : cloud.hires()) n += h.kind == kind ? h.count : 0;
+    return n;
+}
+
+bool Scaler::rent(Ms now, const Option& o, std::uint32_t n, CloudDialogue& cloud) {
+    const Policy& policy = term_.core.policy;
+    std::uint32_t held = held_of(o.kind, cloud);
+    if (held >= policy.cap_per_kind) return false;
+    n = std::min(n, policy.cap_per_kind - held);
+    bool permanent = !cloud.first_rented() && policy.permanent_first > 0;
+    if (permanent) n = std::min(n, policy.permanent_first);
+    return n > 0 && cloud.rent(now, o.kind, o.zone, o.spot, n, permanent);
+}
+
+void Scaler::rent_by_rule(Ms now, CloudDialogue& cloud) {
+    const Policy& policy = term_.core.policy;
+    if (measure_.value <= policy.mark_high || waiting_.empty()) return;
+    int r = measure_.driving;
+    double middle = (policy.mark_low + policy.mark_high) / 2;
+    double need = (measure_.booked.get(r) + measure_.waiting.get(r)) / middle -
+                  measure_.capacity.get(r);
+    for (const Option& o : options(nullptr, r, now, cloud)) {
+        if (need <= 1e-6) break;
+        double each = term_.books.kind(o.kind)->size.get(r);
+        auto n = static_cast<std::uint32_t>(std::clamp(std::ceil(need / each), 1.0, 50.0));
+        if (!rent(now, o, n, cloud)) continue;
+        spdlog::info("measure {:.2f} of {} above {:.2f}", measure_.value, resource_name(r),
+                     policy.mark_high);
+        need -= each * n;
+        for (std::uint32_t i = 0; i < n; ++i) {
+            rooms_.push_back({term_.books.kind(o.kind)->size, o.kind, o.zone, o.spot, kNone, {}});
+        }
+        out_at_ = now;
+    }
+}
+
+// Exception: the fleet-wide share can't see a task that fits nowhere (kind, zone, spot,
+// fragmentation). The cheapest machine for it is rented, one option at a time.
+void Scaler::rent_for_unplaceable(Ms now, CloudDialogue& cloud) {
+    const Policy& policy = term_.core.policy;
+    if (!policy.rent_unplaceable) return;
+    Books& books = term_.books;
+    for (int guard = 0; guard < 12; ++guard) {
+        std::vector<Room> trial = rooms_;
+        left_ = unplaceable(trial);
+        bool rented = false;
+        for (const Demand& d : left_) {
+            const Job& j = books.jobs[d.job];
+            if (now < j.waiting_since + to_ms(policy.unplaceable_after_s)) continue;
+            for (const Option& o : options(&j.spec, -1, now, cloud)) {
+                Room room{books.kind(o.kind)->size, o.kind, o.zone, o.spot, kNone, {}};
+                std::uint32_t per = 0;
+                Room probe = room;
+                while (fits(j.spec, probe) && per < d.count) {
+                    probe.free -= j.spec.each;
+                    ++per;
+                }
+                if (per == 0) continue;
+                std::uint32_t n = (d.count + per - 1) / per;
+                if (!rent(now, o, n, cloud)) continue;
+                spdlog::info("{} has {} tasks that fit nowhere", j.spec.id, d.count);
+                for (std::uint32_t i = 0; i < n; ++i) rooms_.push_back(room);
+                out_at_ = now;
+                rented = true;
+                break;
+            }
+            if (rented) break;
+        }
+        if (!rented) return;
+    }
+}
+
+void Scaler::give_back(Ms now, CloudDialogue& cloud) {
+    const Policy& policy = term_.core.policy;
+    Books& books = term_.books;
+    if (now < in_at_) return;
+    std::vector<Room> trial = rooms_;
+    left_ = unplaceable(trial);
+    std::set<Id> wanted;
+    for (const Room& r : trial) {
+        if (!r.taken.empty() && r.machine != kNone) wanted.insert(r.machine);
+    }
+    Id best = kNone;
+    double best_price = -1;
+    for (Id id = 0; id < books.machines.size(); ++id) {
+        Machine& m = books.machines[id];
+        if (!m.tasks.empty()) m.idle_since = now;
+        const Kind* kind = books.kind(m.kind);
+        if (m.gone || !m.held || m.returning || m.permanent || !m.reported || !kind) continue;
+        if (!m.tasks.empty() || wanted.count(id)) continue;
+        // Below the low mark one goes; above it only one that has stood empty for long: a measure
+        // held up by one resource says nothing of machines bought for another.
+        bool below = measure_.value < policy.mark_low;
+        bool idle = policy.idle_return_s > 0 && now > m.idle_since + to_ms(policy.idle_return_s);
+        if (!below && !idle) continue;
+        if (below && now < m.idle_since + to_ms(std::min(5.0, policy.idle_return_s))) continue;
+        double price = m.spot ? kind->spot_price : kind->price;
+        if (!below && price < policy.idle_keep_price) continue;
+        if (price > best_price) {
+            best = id;
+            best_price = price;
+        }
+    }
+    if (best == kNone) return;
+    in_at_ = now + to_ms(policy.in_interval_s);
+    cloud.give_back(now, best, measure_.value < policy.mark_low ? "below the low mark" : "idle");
+}
+
+void Scaler::tick(Ms now, const WorkerDialogue& workers, CloudDialogue& cloud) {
+    if (now < next_) return;
+    next_ = now + kTick;
+    if (!cloud.known() || term_.books.kinds().empty()) return;
+    survey(now, workers, cloud);
+    // A new leader has not heard all machines yet: it waits one interval before it rents.
+    if (out_at_ < 0) out_at_ = term_.elected_at;
+    std::vector<Room> trial = rooms_;
+    left_ = unplaceable(trial);
+    if (now >= out_at_ + to_ms(term_.core.policy.out_interval_s)) {
+        rent_by_rule(now, cloud);
+        rent_for_unplaceable(now, cloud);
+    }
+    give_back(now, cloud);
+}
+
+}  // namespace walkford
--- /dev/null
+++ b/src/coordination/scaler.hpp
@@ -0,0 +1,67 @@
+// The design's rule: rent above the high mark until the marks' midpoint, give back one empty
+// temporary machine below the low mark. Exceptions are named in docs/design.md.
+#pragma once
+
+#include "coordination/core.hpp"
+#include "coordination/term_fwd.hpp"
+
+namespace walkford {
+
+class WorkerDialogue;
+class CloudDialogue;
+
+class Scaler {
+  public:
+    explicit Scaler(Term& term) : term_(term) {}
+    void tick(Ms now, const WorkerDialogue& workers, CloudDialogue& cloud);
+
+    struct Measure {
+        Amounts booked, waiting, capacity;
+        int driving = 0;
+        double value = 0;
+    };
+    const Measure& last() const { return measure_; }
+
+  private:
+    struct Room {  // what a machine, or one on its way, has free
+        Amounts free;
+        Id kind = kNone;
+        Id zone = kNone;
+        bool spot = false;
+        Id machine = kNone;
+        std::map<Id, std::uint32_t> taken;  // job -> tasks put here by the trial packing
+    };
+    struct Demand {  // waiting tasks of one job that the team's limit admits
+        Id job = kNone;
+        std::uint32_t count = 0;
+    };
+    struct Option {
+        Id kind = kNone;
+        Id zone = kNone;
+        bool spot = false;
+        double price = 0;
+        double cores = 0;
+    };
+
+    void survey(Ms now, const WorkerDialogue& workers, const CloudDialogue& cloud);
+    std::vector<Demand> unplaceable(std::vector<Room>& rooms) const;
+    static bool fits(const JobSpec& s, const Room& r);
+    std::vector<Option> options(const JobSpec* for_job, int resource, Ms now,
+                                const CloudDialogue& cloud) const;
+    void rent_by_rule(Ms now, CloudDialogue& cloud);
+    void rent_for_unplaceable(Ms now, CloudDialogue& cloud);
+    void give_back(Ms now, CloudDialogue& cloud);
+    std::uint32_t held_of(Id kind, const CloudDialogue& cloud) const;
+    bool rent(Ms now, const Option& o, std::uint32_t n, CloudDialogue& cloud);
+
+    Term& term_;
+    Ms next_ = 0;
+    Ms out_at_ = -1;
+    Ms in_at_ = 0;
+    Measure measure_;
+    std::vector<Room> rooms_;
+    std::vector<Demand> waiting_;
+    std::vector<Demand> left_;
+};
+
+}  // namespace walkford
--- /dev/null
+++ b/src/coordination/state_desk.cpp
@@ -0,0 +1,133 @@
+#include "coordination/state_desk.hpp"
+
+#include <algorithm>
+
+namespace walkford {
+
+StateDesk::StateDesk(double write_rps, std::uint32_t nodes) {
+    // The allowance is shared by all nodes without asking one another: the leader writes most.
+    double others = nodes > 1 ? 0.3 / (nodes - 1) : 0.3;
+    rate_lead_ = std::max(1.0, write_rps * 0.65);
+    rate_follow_ = std::max(0.5, write_rps * others);
+}
+
+CallId StateDesk::open(Pending pending) {
+    CallId id = next_++;
+    pending.sent = clock_;
+    pending_.emplace(id, std::move(pending));
+    return id;
+}
+
+void StateDesk::get(const std::string& key, Then then, Outputs& out) {
+    StateCall c;
+    c.verb = StateVerb::get;
+    c.key = key;
+    c.call = open({std::move(then)});
+    out.emplace_back(std::move(c));
+}
+
+void StateDesk::list(const std::string& prefix, const std::string& after, Then then, Outputs& out) {
+    StateCall c;
+    c.verb = StateVerb::list;
+    c.key = prefix;
+    c.after_key = after;
+    c.call = open({std::move(then)});
+    out.emplace_back(std::move(c));
+}
+
+void StateDesk::changes(std::uint64_t after, Ms wait, Then then, Outputs& out) {
+    StateCall c;
+    c.verb = StateVerb::changes;
+    c.key = keys::kRoot;
+    c.after = after;
+    c.wait_ms = wait;
+    c.call = open({std::move(then), 0, std::nullopt, wait > 0});
+    out.emplace_back(std::move(c));
+}
+
+void StateDesk::lease_grant(Ms ttl, Then then, Outputs& out) {
+    StateCall c;
+    c.verb = StateVerb::lease_grant;
+    c.ttl_ms = ttl;
+    c.call = open({std::move(then)});
+    out.emplace_back(std::move(c));
+}
+
+void StateDesk::lease_touch(std::uint64_t lease, Then then, Outputs& out) {
+    StateCall c;
+    c.verb = StateVerb::lease_touch;
+    c.lease = lease;
+    c.call = open({std::move(then)});
+    out.emplace_back(std::move(c));
+}
+
+void StateDesk::lease_drop(std::uint64_t lease, Outputs& out) {
+    StateCall c;
+    c.verb = StateVerb::lease_drop;
+    c.lease = lease;
+    c.call = open({[](Ms, const StateReply&) {}});
+    out.emplace_back(std::move(c));
+}
+
+void StateDesk::txn(Urgency urgency, Txn txn, Then then) {
+    queues_[static_cast<std::size_t>(urgency)].push_back({std::move(txn), std::move(then)});
+}
+
+std::size_t StateDesk::queued() const {
+    std::size_t n = 0;
+    for (const auto& q : queues_) n += q.size();
+    return n;
+}
+
+void StateDesk::reply(Ms now, const StateReply& reply) {
+    clock_ = now;
+    auto it = pending_.find(reply.call);
+    if (it == pending_.end()) return;
+    Pending p = std::move(it->second);
+    pending_.erase(it);
+    if (reply.status != 0 && reply.status != 503 && reply.status != 429) {
+        // A watch that was opened long ago proves nothing about when it was opened.
+        last_answered_ = std::max(last_answered_, p.watch ? last_answered_ : p.sent);
+        last_reached_ = now;
+        refused_ = 0;
+    } else if (reply.status != 429) {
+        ++refused_;
+    }
+    if (reply.status == 429) {
+        held_until_ = std::max(held_until_, now + 120);
+        if (p.txn) {
+            // Not executed: it goes back to the head of its queue.
+            queues_[static_cast<std::size_t>(p.txn->first)].push_front(
+                {std::move(p.txn->second), std::move(p.then)});
+            return;
+        }
+    }
+    p.then(now, reply);
+}
+
+void StateDesk::pump(Ms now, Outputs& out) {
+    clock_ = now;
+    double rate = leading_ ? rate_lead_ : rate_follow_;
+    tokens_ = std::min(std::max(2.0, rate * 0.8),
+                       tokens_ + rate * static_cast<double>(now - refilled_) / 1000.0);
+    refilled_ = now;
+    if (now < held_until_) return;
+    for (std::size_t u = 0; u < kUrgencies; ++u) {
+        auto& queue = queues_[u];
+        while (!queue.empty()) {
+            double cost = static_cast<double>(queue.front().txn.writes.size());
+            // A transaction larger than the bucket goes once the bucket is full.
+            if (u != 0 && tokens_ < std::min(cost, std::max(2.0, rate * 0.8))) return;
+            tokens_ -= cost;
+            Queued q = std::move(queue.front());
+            queue.pop_front();
+            StateCall c;
+            c.verb = StateVerb::txn;
+            c.txn = q.txn;
+            c.call = open({std::move(q.then), 0, std::pair{static_cast<Urgency>(u), std::move(q.txn)}});
+            out.emplace_back(std::move(c));
+        }
+    }
+}
+
+}  // namespace walkford
--- /dev/null
+++ b/src/coordination/state_desk.hpp
@@ -0,0 +1,71 @@
+// Calls to the state service: pairs replies with what waits for them, and keeps this node's writes
+// within its share of the allowance, the ones that safety hangs on first.
+#pragma once
+
+#include <array>
+#include <deque>
+#include <functional>
+
+#include "coordination/io.hpp"
+#include "coordination/policy.hpp"
+
+namespace walkford {
+
+// Order of service when the allowance is short.
+enum class Urgency : std::uint8_t { leadership, cancel, accept, placement, done, progress };
+inline constexpr std::size_t kUrgencies = 6;
+
+class StateDesk {
+  public:
+    using Then = std::function<void(Ms, const StateReply&)>;
+
+    StateDesk(double write_rps, std::uint32_t nodes);
+
+    void get(const std::string& key, Then then, Outputs& out);
+    void list(const std::string& prefix, const std::string& after, Then then, Outputs& out);
+    void changes(std::uint64_t after, Ms wait, Then then, Outputs& out);
+    void lease_grant(Ms ttl, Then then, Outputs& out);
+    void lease_touch(std::uint64_t lease, Then then, Outputs& out);
+    void lease_drop(std::uint64_t lease, Outputs& out);
+    void txn(Urgency urgency, Txn txn, Then then);
+
+    void reply(Ms now, const StateReply& reply);
+    void pump(Ms now, Outputs& out);
+    void set_leading(bool leading) { leading_ = leading; }
+
+    // When the service last answered anything but a refusal, by the time the call was made.
+    Ms last_answered() const { return last_answered_; }
+    Ms last_reached() const { return last_reached_; }
+    // Refusals or silences in a row.
+    int refused() const { return refused_; }
+    std::size_t queued() const;
+
+  private:
+    struct Pending {
+        Then then = {};
+        Ms sent = 0;
+        std::optional<std::pair<Urgency, Txn>> txn = std::nullopt;
+        bool watch = false;
+    };
+    struct Queued {
+        Txn txn;
+        Then then;
+    };
+    CallId open(Pending pending);
+
+    CallId next_ = 1;
+    Ms clock_ = 0;
+    std::unordered_map<CallId, Pending> pending_;
+    std::array<std::deque<Queued>, kUrgencies> queues_;
+    double rate_lead_;
+    double rate_follow_;
+    double tokens_ = 4;
+    Ms refilled_ = 0;
+    Ms held_until_ = 0;
+    bool leading_ = false;
+    Ms last_answered_ = -1;
+    Ms last_reached_ = -1;
+    int refused_ = 0;
+};
+
+}  // namespace walkford
--- /dev/null
+++ b/src/coordination/term_fwd.hpp
@@ -0,0 +1,6 @@
+#pragma once
+
+namespace walkford {
+struct Term;
+class Fates;
+}  // namespace walkford
--- /dev/null
+++ b/src/coordination/user_desk.hpp
@@ -0,0 +1,41 @@
+// The users' dialogue: submissions, polls and cancellations, on every node.
+#pragma once
+
+#include "coordination/view_keeper.hpp"
+
+namespace walkford {
+
+class UserDesk {
+  public:
+    UserDesk(Core& core, ViewKeeper& keeper) : core_(core), keeper_(keeper) {}
+
+    void submit(Ms now, SubmitRequest request);
+    void poll(Ms now, const PollRequest& request);
+    void cancel(Ms now, const CancelRequest& request);
+    void tick(Ms now);
+
+  private:
+    struct Open {
+        std::string id;
+        Ms until = 0;
+    };
+    void answer(RequestId request, UserAnswer a);
+    void refuse(RequestId request, int code, const std::string& error, int retry_after = 1);
+    void tell_state(RequestId request, const std::string& id, bool polled);
+    // After a proven reading, and a look at the ended ones: is the job known or not?
+    using Found = std::function<void(Ms)>;
+    void find_fresh(Ms now, RequestId request, const std::string& id, Found known, Found unknown);
+    void tell_fresh(Ms now, RequestId request, const std::string& id, bool polled, Found unknown);
+    bool admit(Ms now, RequestId request, const std::string& id, Ms budget);
+    // Empty: it can run. Otherwise why it never can.
+    std::string judge(SubmitRequest& request);
+    void create(Ms now, RequestId request, JobSpec spec, int tries);
+    void try_cancel(Ms now, RequestId request, const std::string& id, int tries);
+    bool is_open(RequestId request) const { return open_.count(request) != 0; }
+
+    Core& core_;
+    ViewKeeper& keeper_;
+    std::unordered_map<RequestId, Open> open_;
+};
+
+}  // namespace walkford
--- /dev/null
+++ b/src/coordination/view_keeper.cpp
@@ -0,0 +1,139 @@
+#include "coordination/view_keeper.hpp"
+
+#include <spdlog/spdlog.h>
+
+namespace walkford {
+
+namespace {
+// Ended jobs are not read at the start: they are looked up when asked for.
+const std::array<std::string, 5>& reading_prefixes() {
+    static const std::array<std::string, 5> prefixes{keys::kLeader, keys::kRegistry, keys::kKinds,
+                                                     keys::kJobs, keys::kTasks};
+    return prefixes;
+}
+constexpr Ms kWatchFor = 20000;
+// Watches and readings count as requests; several changes share one.
+constexpr Ms kWatchSpacing = 40;
+constexpr Ms kBarrierSpacing = 25;
+}  // namespace
+
+void ViewKeeper::tick(Ms now) {
+    if (!ready_ && !reading_ && now >= read_at_) start_reading(now);
+    if (ready_ && !watching_ && now >= watch_at_) watch(now);
+    if (ready_ && !barrier_open_ && !waiting_.empty() && now >= barrier_sent_ + kBarrierSpacing) {
+        start_barrier(now);
+    }
+}
+
+void ViewKeeper::start_reading(Ms now) {
+    reading_ = true;
+    ready_ = false;
+    read_prefix_ = 0;
+    read_after_.clear();
+    read_revision_ = 0;
+    core_.view.begin_reading();
+    read_next(now);
+}
+
+void ViewKeeper::read_next(Ms) {
+    core_.state.list(
+        reading_prefixes().at(read_prefix_), read_after_,
+        [this](Ms now, const StateReply& r) {
+            if (r.status != 200) {
+                reading_ = false;
+                read_at_ = now + 200 + core_.jitter(200);
+                return;
+            }
+            // Pages are read one after the other; changes are followed from before the first.
+            if (read_revision_ == 0) read_revision_ = std::max<std::uint64_t>(1, r.revision);
+            for (const StateRow& row : r.rows) core_.view.apply(row);
+            if (r.more && !r.rows.empty()) {
+                read_after_ = r.rows.back().key;
+            } else {
+                read_after_.clear();
+                ++read_prefix_;
+            }
+            if (read_prefix_ < reading_prefixes().size()) {
+                read_next(now);
+                return;
+            }
+            core_.view.end_reading(read_revision_);
+            reading_ = false;
+            ready_ = true;
+            spdlog::info("state read: {} live jobs, revision {}", core_.view.jobs().size(),
+                         core_.view.revision());
+            if (on_change) on_change(now, "");
+            watch(now);
+        },
+        core_.out);
+}
+
+void ViewKeeper::apply(Ms now, const StateReply& r) {
+    std::vector<std::string> changed;
+    for (const StateRow& row : r.rows) {
+        if (core_.view.apply(row)) changed.push_back(row.key);
+    }
+    core_.view.advance(r.revision);
+    if (!on_change) return;
+    for (const std::string& key : changed) on_change(now, key);
+}
+
+void ViewKeeper::watch(Ms) {
+    watching_ = true;
+    core_.state.changes(
+        core_.view.revision(), kWatchFor,
+        [this](Ms now, const StateReply& r) {
+            watching_ = false;
+            watch_at_ = now + kWatchSpacing;
+            if (r.status == 200) {
+                apply(now, r);
+            } else if (r.status == 410) {
+                spdlog::info("changes too old, reading the state again");
+                ready_ = false;
+                read_at_ = now;
+                fail_waiting(now);
+            } else {
+                watch_at_ = now + 250 + core_.jitter(250);
+            }
+        },
+        core_.out);
+}
+
+void ViewKeeper::barrier(Ms now, Proven then) {
+    if (!ready_) {
+        then(now, false);
+        return;
+    }
+    waiting_.push_back(std::move(then));
+    if (!barrier_open_ && now >= barrier_sent_ + kBarrierSpacing) start_barrier(now);
+}
+
+void ViewKeeper::start_barrier(Ms now) {
+    barrier_open_ = true;
+    barrier_sent_ = now;
+    auto served = std::make_shared<std::vector<Proven>>(std::move(waiting_));
+    waiting_.clear();
+    core_.state.changes(
+        core_.view.revision(), 0,
+        [this, served, sent = now](Ms at, const StateReply& r) {
+            barrier_open_ = false;
+            bool ok = r.status == 200 && ready_;
+            if (ok) {
+                apply(at, r);
+                proven_at_ = std::max(proven_at_, sent);
+            } else if (r.status == 410 && ready_) {
+                ready_ = false;
+                read_at_ = at;
+            }
+            for (Proven& then : *served) then(at, ok);
+        },
+        core_.out);
+}
+
+void ViewKeeper::fail_waiting(Ms now) {
+    auto served = std::move(waiting_);
+    waiting_.clear();
+    for (Proven& then : served) then(now, false);
+}
+
+}  // namespace walkford
--- /dev/null
+++ b/src/coordination/view_keeper.hpp
@@ -0,0 +1,46 @@
+// Keeps the node's view up to date (a reading, then a watch) and proves how fresh it is.
+#pragma once
+
+#include "coordination/core.hpp"
+
+namespace walkford {
+
+class ViewKeeper {
+  public:
+    using Proven = std::function<void(Ms, bool)>;
+    explicit ViewKeeper(Core& core) : core_(core) {}
+
+    void tick(Ms now);
+    // Calls back once the view is at least as new as this moment, or with false when that can't be
+    // had now. One reading serves all that wait.
+    void barrier(Ms now, Proven then);
+    bool ready() const { return ready_; }
+    // The view held everything that had happened by then.
+    Ms proven_at() const { return proven_at_; }
+
+    std::function<void(Ms, const std::string& key)> on_change;
+
+  private:
+    void start_reading(Ms now);
+    void read_next(Ms now);
+    void watch(Ms now);
+    void start_barrier(Ms now);
+    void apply(Ms now, const StateReply& r);
+    void fail_waiting(Ms now);
+
+    Core& core_;
+    bool ready_ = false;
+    bool reading_ = false;
+    std::size_t read_prefix_ = 0;
+    std::string read_after_;
+    std::uint64_t read_revision_ = 0;
+    Ms read_at_ = 0;
+    bool watching_ = false;
+    Ms watch_at_ = 0;
+    bool barrier_open_ = false;
+    Ms barrier_sent_ = -1000;
+    Ms proven_at_ = -1;
+    std::vector<Proven> waiting_;
+};
+
+}  // namespace walkford
--- /dev/null
+++ b/src/coordination/worker_dialogue.cpp
@@ -0,0 +1,328 @@
+#include "coordination/worker_dialogue.hpp"
+
+#include <spdlog/spdlog.h>
+
+#include "coordination/leader.hpp"
+
+namespace walkford {
+
+namespace {
+constexpr Ms kLeaseMargin = 1200;
+}
+
+bool WorkerDialogue::usable(const Machine& m, Ms now) const {
+    Ms fresh = to_ms(term_.core.platform.report_s * 2.0) + 1500;
+    return m.held && !m.returning && !m.gone && !m.sick && !m.lost && m.reported &&
+           m.notice_until < 0 && m.avoid_until <= now && now - m.last_beat <= fresh;
+}
+
+void WorkerDialogue::beat(Ms now, const BeatRequest& q) {
+    Books& books = term_.books;
+    const WorkerReport& r = q.report;
+    BeatAnswer a;
+    a.request = q.request;
+    if (now >= term_.answer_until) {
+        // Too long without proof that nothing was cancelled meanwhile: the tasks' lease runs out.
+        a.code = 503;
+        term_.core.out.emplace_back(std::move(a));
+        return;
+    }
+    a.code = 200;
+    a.token = term_.token;
+    Id id = books.find_machine(r.machine);
+    if (id == kNone) {
+        id = books.add_machine(r.machine, books.names.kinds.intern(r.kind),
+                               books.names.zones.intern(r.zone), r.spot, now);
+        spdlog::debug("machine {} reports and is not in the registry", r.machine);
+    }
+    Machine& m = books.machines[id];
+    if (!r.address.empty()) m.address = r.address;
+    if (take(now, id, r, true)) {
+        a.orders = orders(now, id, r);
+        m.last_beat = now;
+    }
+    m.last_ok = now;
+    term_.core.out.emplace_back(std::move(a));
+}
+
+bool WorkerDialogue::take(Ms now, Id id, const WorkerReport& r, bool is_beat) {
+    Books& books = term_.books;
+    Machine& m = books.machines[id];
+    auto at = std::pair{r.session, r.tick};
+    if (m.reported && at <= std::pair{m.session, m.tick}) return false;
+    // From before it was given up: its lease is over, so is all it tells of.
+    if (r.session < m.min_session) return false;
+    bool new_session = m.reported && r.session > m.session;
+    bool under_us = r.token == term_.token;
+    if (!m.reported) {
+        spdlog::debug("machine {} reports", m.name);
+        term_.place_now = true;
+    }
+    m.session = r.session;
+    m.tick = r.tick;
+    m.reported = true;
+    if (m.lost) {
+        m.lost = false;
+        term_.place_now = true;
+        spdlog::info("machine {} is back", m.name);
+    }
+    if (under_us && !m.token_seen) {
+        m.token_seen = true;
+        m.token_seen_at = now;
+    }
+    if (new_session) m.images.clear();  // a new session may mean a new disk: count on nothing
+    if (r.notice_s) {
+        Ms until = now + to_ms(*r.notice_s);
+        if (m.notice_until < 0) spdlog::info("machine {} is taken in {:.1f} s", m.name, *r.notice_s);
+        m.notice_until = m.notice_until < 0 ? until : std::min(m.notice_until, until);
+    }
+
+    std::set<TaskRef> mentioned;
+    for (const ReportedTask& t : r.tasks) {
+        Id job = books.find_job(t.job);
+        if (job == kNone || t.task >= books.jobs[job].spec.tasks) continue;
+        TaskRef ref{job, t.task};
+        Task& task = books.task(ref);
+        if (task.machine != id || task.attempt != t.attempt) continue;
+        mentioned.insert(ref);
+        task.inherited = false;
+        if (t.state == TaskState::exited) {
+            task_exited(now, ref, t);
+            continue;
+        }
+        if (task.phase != Phase::seen) {
+            task.phase = Phase::seen;
+            task.since = now;
+        }
+        if (t.state == TaskState::running && task.state != TaskState::running) {
+            task.running_since = now;
+        }
+        task.state = t.state;
+    }
+
+    if (!under_us) return true;  // an older leader may still be obeyed: absence proves nothing
+    std::vector<TaskRef> here(m.tasks.begin(), m.tasks.end());
+    for (TaskRef ref : here) {
+        if (mentioned.count(ref)) continue;
+        if (!books.jobs[ref.job].alive) continue;
+        Task& task = books.task(ref);
+        if (task.machine != id) continue;
+        bool group = books.jobs[ref.job].spec.gang && books.jobs[ref.job].spec.tasks > 1;
+        switch (task.phase) {
+            case Phase::seen:
+                fates_.lost(ref, now, "not on its machine any more");
+                break;
+            case Phase::sent:
+                // Only a later beat shows that the answer with `run` was taken in or dropped: an
+                // answer of /orders has a higher number too, and proves nothing about it.
+                if (new_session || (is_beat && r.tick > task.sent_tick) ||
+                    task.sent_session < r.session) {
+                    if (task.halting) {
+                        fates_.lost(ref, now, "stopped before it started");
+                    } else {
+                        task.phase = Phase::placed;
+                    }
+                }
+                break;
+            case Phase::placed:
+                if (!task.inherited) break;
+                if (!is_beat) break;
+                // Under our token and not there: never started, or gone with an older session.
+                if (group || task.halting) {
+                    fates_.lost(ref, now, "not found after a change of leader");
+                } else {
+                    task.inherited = false;
+                }
+                break;
+            default: break;
+        }
+    }
+    return true;
+}
+
+void WorkerDialogue::blame(Ms now, TaskRef ref, Id machine) {
+    Books& books = term_.books;
+    Job& j = books.jobs[ref.job];
+    Machine& m = books.machines[machine];
+    j.failed_on.insert(machine);
+    ++j.failures;
+    // A job that failed on other machines too is its own fault; then no machine is blamed for it.
+    if (j.failed_on.size() >= 2) {
+        for (Id other : j.failed_on) books.machines[other].error_jobs.erase(ref.job);
+        double wait = std::min(60.0, 2.0 * static_cast<double>(1U << std::min(j.failures, 5U)));
+        j.not_before = now + to_ms(wait);
+    } else {
+        m.error_jobs.insert(ref.job);
+        m.last_error = now;
+        m.avoid_until = std::max(m.avoid_until, now + 3000);
+        j.not_before = std::max(j.not_before, now + 500 * static_cast<Ms>(std::min(j.failures, 20U)));
+    }
+    if (m.error_jobs.size() >= 2 && !m.sick) {
+        m.sick = true;
+        spdlog::info("machine {} fails tasks of {} jobs: given up", m.name, m.error_jobs.size());
+        std::vector<TaskRef> here(m.tasks.begin(), m.tasks.end());
+        for (TaskRef other : here) {
+            if (other != ref) {
+                fates_.halt(other, term_.books.jobs[other.job].spec.save_s + 1, now, true);
+            }
+        }
+    }
+}
+
+void WorkerDialogue::task_exited(Ms now, TaskRef ref, const ReportedTask& r) {
+    Books& books = term_.books;
+    Job& j = books.jobs[ref.job];
+    Task& t = books.task(ref);
+    Id machine = t.machine;
+    Machine& m = books.machines[machine];
+    term_.place_now = true;
+    if (r.cause == "done") {
+        m.error_jobs.clear();
+        if (j.spec.gang) {
+            // A gang completes together: one task that is done shows that all are.
+            for (std::uint32_t i = 0; i < j.spec.tasks; ++i) {
+                if (books.task({ref.job, i}).attempt == r.attempt) books.mark_done({ref.job, i});
+            }
+        } else {
+            books.mark_done(ref);
+        }
+        return;
+    }
+    spdlog::debug("{}/{} attempt {} ended on {}: {}{}", j.spec.id, ref.task, r.attempt, m.name,
+                  r.cause, r.kept ? ", saved" : "");
+    bool excused = t.excused || t.halting || j.cancelled;
+    if (r.cause == "error" && !excused) {
+        spdlog::info("{}/{} failed on {}", j.spec.id, ref.task, m.name);
+        blame(now, ref, machine);
+    } else if (r.cause == "no_room") {
+        // Our books and the machine differ; let it report what it has before it gets more.
+        m.avoid_until = std::max(m.avoid_until, now + 2000);
+    } else if (r.cause == "busy") {
+        j.not_before = std::max(j.not_before, now + 1000);
+    } else if (r.cause == "unknown") {
+        j.not_before = std::max(j.not_before, now + 3000);
+    }
+    fates_.lost(ref, now, r.cause.c_str());
+}
+
+std::vector<Order> WorkerDialogue::orders(Ms now, Id id, const WorkerReport& r) {
+    Books& books = term_.books;
+    Machine& m = books.machines[id];
+    std::vector<Order> list;
+    for (const ReportedTask& t : r.tasks) {
+        Order o{OrderVerb::clear, t.job, t.task, t.attempt, 0};
+        Id job = books.find_job(t.job);
+        bool known = job != kNone && t.task < books.jobs[job].spec.tasks;
+        if (known) {
+            Task& task = books.task({job, t.task});
+            if (task.machine == id && task.attempt == t.attempt) continue;  // handled below
+            // Its end must be durable before the worker forgets it.
+            if (task.c_machine == id && task.c_attempt == t.attempt && !task.c_done) continue;
+        }
+        if (t.state != TaskState::exited) {
+            // Not ours to run (any more): an ended or cancelled job, or an older attempt.
+            o.verb = OrderVerb::halt;
+        }
+        list.push_back(std::move(o));
+    }
+    for (TaskRef ref : m.tasks) {
+        Job& j = books.jobs[ref.job];
+        Task& t = books.task(ref);
+        if (t.halting && t.phase != Phase::placed) {
+            list.push_back({OrderVerb::halt, j.spec.id, ref.task, t.attempt, t.halt_grace});
+            t.halt_told = now;
+        } else if (t.phase == Phase::placed && !t.halting && !t.inherited && term_.act &&
+                   !j.cancelled && t.durable_here() && m.held && !m.returning) {
+            list.push_back({OrderVerb::run, j.spec.id, ref.task, t.attempt, 0});
+            t.phase = Phase::sent;
+            t.sent_tick = r.tick;
+            t.sent_session = r.session;
+            t.since = now;
+        }
+        if (list.size() >= 200) break;  // an answer holds 64 KiB; the rest follows with the next
+    }
+    return list;
+}
+
+void WorkerDialogue::send_direct(Ms now, Id id, std::vector<Order> list) {
+    Machine& m = term_.books.machines[id];
+    if (m.address.empty() || m.probing) return;
+    m.probing = true;
+    m.probe_at = now + 2500;
+    WorkerCall c;
+    c.address = m.address;
+    c.token = term_.token;
+    c.session = m.session;
+    c.orders = std::move(list);
+    c.call = term_.core.workers.open(
+        [this, alive = std::weak_ptr<bool>(term_.alive), id](Ms at, const WorkerReply& r) {
+            if (alive.expired()) return;
+            Machine& machine = term_.books.machines[id];
+            machine.probing = false;
+            if (machine.gone || !r.report || r.report->machine != machine.name) return;
+            if (r.report->token > term_.token) {
+                term_.depose(at, "a worker has seen a higher token");
+                return;
+            }
+            if (r.status == 409 && r.report->session != machine.session) {
+                machine.probe_at = at;  // once more, with the session it told
+            }
+            take(at, id, *r.report, false);
+        });
+    term_.core.out.emplace_back(std::move(c));
+}
+
+void WorkerDialogue::tick(Ms now) {
+    if (now < check_at_) return;
+    check_at_ = now + 200;
+    Books& books = term_.books;
+    const Platform& p = term_.core.platform;
+    const Policy& policy = term_.core.policy;
+    Ms lease = with_drift(to_ms(p.lease_s)) + kLeaseMargin;
+    Ms report = to_ms(p.report_s);
+    for (Id id = 0; id < books.machines.size(); ++id) {
+        Machine& m = books.machines[id];
+        if (m.gone) continue;
+        // A worker we have not answered for longer than its lease, and that obeys no older leader,
+        // has killed all its tasks.
+        if (m.token_seen && !m.lost && now > std::max(m.last_ok, m.token_seen_at) + lease) {
+            m.lost = true;
+            m.min_session = m.session + 1;
+            m.notice_until = -1;
+            spdlog::info("machine {} not heard for {:.1f} s: lease over, {} tasks lost", m.name,
+                         static_cast<double>(now - m.last_beat) / 1000.0, m.tasks.size());
+            fates_.machine_emptied(id, now, "machine silent");
+        }
+        // Not heard under our token: an older leader may still answer it, so it is shown ours.
+        bool unseen = !m.token_seen && now > term_.elected_at + to_ms(policy.takeover_probe_s) &&
+                      (!m.tasks.empty() || m.cloud == CloudStatus::running) && !m.reported;
+        if (unseen && !m.probing && now >= m.probe_at) send_direct(now, id, {});
+
+        if (m.notice_until >= 0) {
+            // Taken soon: save as late as is safe, with two reports' time to be told.
+            for (TaskRef ref : std::vector<TaskRef>(m.tasks.begin(), m.tasks.end())) {
+                const JobSpec& spec = books.jobs[ref.job].spec;
+                Task& t = books.task(ref);
+                if (t.halting) continue;
+                Ms needed = to_ms(spec.save_s) + report + 1500;
+                if (now + needed >= m.notice_until) fates_.halt(ref, spec.save_s + 0.5, now, true);
+            }
+        }
+
+        std::vector<Order> urgent;
+        for (TaskRef ref : m.tasks) {
+            Task& t = books.task(ref);
+            if (!t.halting || t.phase == Phase::placed || (t.halt_told >= 0 && now < t.halt_told + 2500)) {
+                continue;
+            }
+            urgent.push_back({OrderVerb::halt, books.jobs[ref.job].spec.id, ref.task, t.attempt,
+                              t.halt_grace});
+        }
+        if (!urgent.empty() && m.reported && !m.probing && now >= m.probe_at - 2400) {
+            for (const Order& o : urgent) books.task({books.find_job(o.job), o.task}).halt_told = now;
+            send_direct(now, id, std::move(urgent));
+        }
+    }
+}
+
+}  // namespace walkford
--- /dev/null
+++ b/src/protocol/peer_frame.hpp
@@ -0,0 +1,18 @@
+// What controllers send one another: cereal frames with a version and a size limit.
+#pragma once
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "coordination/io.hpp"
+
+namespace walkford::protocol {
+
+inline constexpr std::size_t kMostFrame = 4096;
+
+// Length (4 bytes, big endian), then the frame.
+std::string encode_frame(const PeerFact& fact);
+std::optional<PeerFact> decode_frame(std::string_view frame);
+
+}  // namespace walkford::protocol
--- /dev/null
+++ b/src/protocol/settings_file.cpp
@@ -0,0 +1,251 @@
+#include "protocol/settings_file.hpp"
+
+#include <Poco/Exception.h>
+#include <Poco/Util/PropertyFileConfiguration.h>
+
+#include <cmath>
+#include <fstream>
+#include <functional>
+#include <map>
+#include <sstream>
+
+#include "bookkeeping/records.hpp"
+
+namespace walkford::protocol {
+
+namespace {
+
+class Reader {
+  public:
+    Reader(const Json& value, std::string path) : value_(value), path_(std::move(path)) {
+        if (!value_.is_object()) throw SettingsError(path_ + ": must be an object");
+    }
+    Reader child(const char* name) const { return {at(name), where(name)}; }
+    std::string text(const char* name) const {
+        const Json& v = at(name);
+        if (!v.is_string() || v.get_ref<const std::string&>().empty()) {
+            throw SettingsError(where(name) + ": must be a text that isn't empty");
+        }
+        return v.get<std::string>();
+    }
+    std::string address(const char* name) const {
+        std::string a = text(name);
+        auto colon = a.rfind(':');
+        bool digits = colon != std::string::npos && colon > 0 && colon + 1 < a.size() &&
+                      a.size() - colon <= 6 &&
+                      a.find_first_not_of("0123456789", colon + 1) == std::string::npos;
+        if (!digits || std::stoi(a.substr(colon + 1)) > 65535) {
+            throw SettingsError(where(name) + ": must be address:port");
+        }
+        return a;
+    }
+    double number(const char* name, double least, double most) const {
+        const Json& v = at(name);
+        if (!v.is_number()) throw SettingsError(where(name) + ": must be a number");
+        double d = v.get<double>();
+        if (!std::isfinite(d) || d < least || d > most) {
+            std::ostringstream s;
+            s << where(name) << ": must be from " << least << " to " << most;
+            throw SettingsError(s.str());
+        }
+        return d;
+    }
+    double number_or(const char* name, double fallback, double least, double most) const {
+        return value_.contains(name) && !value_[name].is_null() ? number(name, least, most)
+                                                                : fallback;
+    }
+    const Json& list(const char* name) const {
+        const Json& v = at(name);
+        if (!v.is_array()) throw SettingsError(where(name) + ": must be a list");
+        return v;
+    }
+    std::string where(const std::string& name) const {
+        return path_.empty() ? name : path_ + "." + name;
+    }
+    bool has(const char* name) const { return value_.contains(name) && !value_[name].is_null(); }
+
+  private:
+    const Json& at(const char* name) const {
+        auto it = value_.find(name);
+        if (it == value_.end() || it->is_null()) throw SettingsError(where(name) + ": missing");
+        return *it;
+    }
+    const Json& value_;
+    std::string path_;
+};
+
+}  // namespace
+
+Platform read_platform(const std::string& json_text, std::vector<std::string>& notes) {
+    Json doc = Json::parse(json_text, nullptr, false);
+    if (doc.is_discarded()) throw SettingsError("settings: not JSON");
+    Reader top(doc, "");
+    Platform p;
+    p.node_name = top.text("node_name");
+    p.serve_on = top.address("serve_on");
+    p.cluster_listen = top.address("cluster_listen");
+    const Json& seeds = top.list("seeds");
+    for (std::size_t i = 0; i < seeds.size(); ++i) {
+        Reader seed(seeds[i], "seeds[" + std::to_string(i) + "]");
+        p.peers.push_back({seed.text("node_name"), seed.address("endpoint")});
+    }
+    Reader external = top.child("external");
+    p.cloud = external.address("cloud");
+    p.state = external.address("state");
+    Reader params = top.child("params");
+    const Json& zones = params.list("zones");
+    if (zones.empty()) throw SettingsError("params.zones: must name a zone");
+    for (std::size_t i = 0; i < zones.size(); ++i) {
+        if (!zones[i].is_string()) {
+            throw SettingsError("params.zones[" + std::to_string(i) + "]: must be a text");
+        }
+        p.zones.push_back(zones[i].get<std::string>());
+    }
+    const Json& teams = params.list("teams");
+    for (std::size_t i = 0; i < teams.size(); ++i) {
+        Reader team(teams[i], "params.teams[" + std::to_string(i) + "]");
+        Team t;
+        t.name = team.text("name");
+        t.guarantee = {team.number_or("cpus", 0, 0, 1e9), team.number_or("gpus", 0, 0, 1e9), 0};
+        t.limit = {team.number_or("cpus_max", 0, 0, 1e9), team.number_or("gpus_max", 0, 0, 1e9), 0};
+        for (const Team& other : p.teams) {
+            if (other.name == t.name) throw SettingsError(team.where("name") + ": named twice");
+        }
+        p.teams.push_back(std::move(t));
+    }
+    if (params.has("objectives")) {
+        const Json& objectives = params.list("objectives");
+        for (std::size_t i = 0; i < objectives.size(); ++i) {
+            Reader o(objectives[i], "params.objectives[" + std::to_string(i) + "]");
+            std::string kind = o.text("kind");
+            if (kind != "wait" && kind != "finished" && kind != "deadline" && kind != "guarantee") {
+                notes.push_back(o.where("kind") + ": '" + kind + "' is not known and ignored");
+            }
+        }
+    }
+    Reader workers = params.child("workers");
+    p.report_s = workers.number("report_s", 0.05, 3600);
+    p.lease_s = workers.number("lease_s", 0.1, 86400);
+    p.gang_wait_s = workers.number("gang_wait_s", 0, 86400);
+    p.gang_peer_s = workers.number("gang_peer_s", 0, 86400);
+    p.cancel_s = workers.number("cancel_s", 0.1, 86400);
+    if (p.lease_s <= p.report_s) {
+        throw SettingsError("params.workers.lease_s: must be longer than report_s");
+    }
+    Reader state = params.child("state");
+    p.state_rps = state.number("rps", 1, 1e9);
+    p.state_write_rps = state.number("write_rps", 0.5, 1e9);
+    p.value_kb = state.number("value_kb", 0.5, 1e6);
+    p.txn_ops = static_cast<std::uint32_t>(state.number("txn_ops", 3, 1e6));
+    Reader cloud = params.child("cloud");
+    p.cloud_rps = cloud.number("rps", 0.1, 1e9);
+    p.list_lag_s = cloud.number("list_lag_s", 0, 86400);
+    if (params.has("machine_limits")) {
+        Reader limits = params.child("machine_limits");
+        p.fd_limit = static_cast<std::uint32_t>(limits.number_or("fd_limit", 512, 32, 1e7));
+    }
+    return p;
+}
+
+namespace {
+std::string slurp(const std::string& path, const char* what) {
+    std::ifstream in(path, std::ios::binary);
+    if (!in) throw SettingsError(std::string(what) + ": can't read " + path);
+    std::ostringstream text;
+    text << in.rdbuf();
+    if (in.bad()) throw SettingsError(std::string(what) + ": can't read " + path);
+    return text.str();
+}
+}  // namespace
+
+Platform load_platform(const std::string& path, std::vector<std::string>& notes) {
+    return read_platform(slurp(path, "settings"), notes);
+}
+
+Policy load_policy(const std::string& path) {
+    Policy q;
+    if (path.empty()) return q;
+    slurp(path, "properties");
+    using Poco::Util::PropertyFileConfiguration;
+    Poco::AutoPtr<PropertyFileConfiguration> file;
+    try {
+        file = new PropertyFileConfiguration(path);
+    } catch (const Poco::Exception& e) {
+        throw SettingsError("properties: " + e.displayText());
+    }
+    struct Number {
+        double* value;
+        double least;
+        double most;
+    };
+    double cap = q.cap_per_kind;
+    double permanent = q.permanent_first;
+    double unplaceable = q.rent_unplaceable ? 1 : 0;
+    double preempt = q.preempt ? 1 : 0;
+    std::map<std::string, Number> numbers{
+        {"scale.mark.low", {&q.mark_low, 0, 1}},
+        {"scale.mark.high", {&q.mark_high, 0, 1}},
+        {"scale.out.interval_s", {&q.out_interval_s, 0.1, 3600}},
+        {"scale.in.interval_s", {&q.in_interval_s, 0.1, 3600}},
+        {"scale.cap_per_kind", {&cap, 0, 10000}},
+        {"scale.permanent.first", {&permanent, 0, 50}},
+        {"scale.unplaceable", {&unplaceable, 0, 1}},
+        {"scale.unplaceable.after_s", {&q.unplaceable_after_s, 0, 3600}},
+        {"scale.spot", {&q.spot_prefer, 0, 1}},
+        {"scale.idle_return_s", {&q.idle_return_s, 0, 86400}},
+        {"scale.idle_keep_price", {&q.idle_keep_price, 0, 1e6}},
+        {"scale.no_capacity_backoff_s", {&q.no_capacity_backoff_s, 0.5, 3600}},
+        {"machines.boot.give_up", {&q.boot_give_up, 1, 100}},
+        {"machines.boot.late", {&q.boot_late, 1, 100}},
+        {"machines.lost_return_s", {&q.lost_return_s, 0, 3600}},
+        {"machines.unseen_return_s", {&q.unseen_return_s, 1, 3600}},
+        {"place.round_budget_ms", {&q.round_budget_ms, 0.1, 1000}},
+        {"place.preempt", {&preempt, 0, 1}},
+        {"place.preempt.after_s", {&q.preempt_after_s, 0, 3600}},
+        {"leader.lease_s", {&q.lease_ttl_s, 0.5, 600}},
+        {"leader.probe_after_s", {&q.takeover_probe_s, 0.5, 600}},
+    };
+    PropertyFileConfiguration::Keys names;
+    std::function<void(const std::string&)> walk = [&](const std::string& base) {
+        PropertyFileConfiguration::Keys keys;
+        file->keys(base, keys);
+        for (const std::string& key : keys) {
+            std::string full = base.empty() ? key : base + "." + key;
+            if (file->hasProperty(full)) names.push_back(full);
+            walk(full);
+        }
+    };
+    walk("");
+    for (const std::string& name : names) {
+        if (name == "scale.order") {
+            q.order = file->getString(name);
+            if (q.order != "cost" && q.order != "cores") {
+                throw SettingsError("scale.order: must be cost or cores");
+            }
+            continue;
+        }
+        auto it = numbers.find(name);
+        if (it == numbers.end()) throw SettingsError(name + ": no such property");
+        double v;
+        try {
+            v = file->getDouble(name);
+        } catch (const Poco::Exception&) {
+            throw SettingsError(name + ": must be a number");
+        }
+        if (!(v >= it->second.least && v <= it->second.most)) {
+            std::ostringstream s;
+            s << name << ": must be from " << it->second.least << " to " << it->second.most;
+            throw SettingsError(s.str());
+        }
+        *it->second.value = v;
+    }
+    q.cap_per_kind = static_cast<std::uint32_t>(cap);
+    q.permanent_first = static_cast<std::uint32_t>(permanent);
+    q.rent_unplaceable = unplaceable != 0;
+    q.preempt = preempt != 0;
+    if (!(q.mark_low < q.mark_high)) throw SettingsError("scale.mark.low: must be below scale.mark.high");
+    if (!(q.mark_high < 1)) throw SettingsError("scale.mark.high: must be below 1");
+    return q;
+}
+
+}  // namespace walkford::protocol
--- /dev/null
+++ b/src/protocol/settings_file.hpp
@@ -0,0 +1,22 @@
+// The platform's JSON settings and the operators' properties, checked.
+#pragma once
+
+#include <stdexcept>
+#include <string>
+#include <vector>
+
+#include "coordination/policy.hpp"
+
+namespace walkford::protocol {
+
+// One line that names the field.
+struct SettingsError : std::runtime_error {
+    using std::runtime_error::runtime_error;
+};
+
+// Notes are what was ignored, to be logged once logging works.
+Platform read_platform(const std::string& json_text, std::vector<std::string>& notes);
+Platform load_platform(const std::string& path, std::vector<std::string>& notes);
+Policy load_policy(const std::string& path);
+
+}  // namespace walkford::protocol
--- /dev/null
+++ b/src/protocol/wire.hpp
@@ -0,0 +1,45 @@
+// The wire's words, and nowhere else: requests and answers of users, workers, cloud and state
+// service to and from the domain's types.
+#pragma once
+
+#include <string>
+#include <string_view>
+
+#include "coordination/io.hpp"
+#include "protocol/pack.hpp"
+
+namespace walkford::protocol {
+
+enum class Method : std::uint8_t { get, post, del, other };
+
+struct HttpReply {
+    int code = 200;
+    std::string body;
+    int retry_after_s = 0;
+};
+
+struct HttpCall {
+    Method method = Method::get;
+    std::string path;
+    std::string body;
+};
+
+// A request to this controller: an input for the core, or the answer at the door.
+using Arrival = std::variant<Input, HttpReply>;
+Arrival parse_request(RequestId request, Method method, std::string_view path,
+                      std::string_view body);
+HttpReply encode(const UserAnswer& answer);
+HttpReply encode(const BeatAnswer& answer);
+HttpReply error_reply(int code, const std::string& why);
+
+HttpCall encode(const StateCall& call);
+StateReply decode_state(const StateCall& call, int code, std::string_view body);
+HttpCall encode(const CloudCall& call);
+// Kinds and zones become indices here.
+CloudReply decode_cloud(const CloudCall& call, int code, std::string_view body, Names& names);
+HttpCall encode(const WorkerCall& call);
+WorkerReply decode_worker(CallId call, int code, std::string_view body);
+
+std::optional<WorkerReport> parse_report(const Json& body);
+
+}  // namespace walkford::protocol
--- /dev/null
+++ b/src/transport/event_types.hpp
@@ -0,0 +1,41 @@
+// Owning handles for libevent's objects.
+#pragma once
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <event2/http.h>
+#include <event2/http_struct.h>
+#include <event2/listener.h>
+
+#include <memory>
+#include <string>
+#include <utility>
+
+namespace walkford::transport {
+
+template <auto Free>
+struct FreeWith {
+    template <typename T>
+    void operator()(T* p) const {
+        Free(p);
+    }
+};
+using EventBase = std::unique_ptr<event_base, FreeWith<event_base_free>>;
+using Event = std::unique_ptr<event, FreeWith<event_free>>;
+using HttpServerHandle = std::unique_ptr<evhttp, FreeWith<evhttp_free>>;
+using HttpConnection = std::unique_ptr<evhttp_connection, FreeWith<evhttp_connection_free>>;
+using Listener = std::unique_ptr<evconnlistener, FreeWith<evconnlistener_free>>;
+using BufferEvent = std::unique_ptr<bufferevent, FreeWith<bufferevent_free>>;
+
+inline timeval to_timeval(long ms) { return {ms / 1000, (ms % 1000) * 1000}; }
+
+// "10.0.0.1:8080"; the settings have been checked.
+inline std::pair<std::string, std::uint16_t> split_address(const std::string& address) {
+    auto colon = address.rfind(':');
+    if (colon == std::string::npos) return {address, 0};
+    int port = std::atoi(address.c_str() + colon + 1);
+    return {address.substr(0, colon), static_cast<std::uint16_t>(port)};
+}
+
+}  // namespace walkford::transport
--- /dev/null
+++ b/src/transport/process.cpp
@@ -0,0 +1,146 @@
+#include "transport/process.hpp"
+
+#include <spdlog/spdlog.h>
+
+#include <chrono>
+#include <random>
+#include <stdexcept>
+
+namespace walkford::transport {
+
+namespace {
+constexpr long kStateTimeout = 1500;
+constexpr long kWatchTimeout = 24000;
+constexpr long kCloudTimeout = 4500;
+constexpr long kWorkerTimeout = 3000;
+constexpr std::size_t kMostWorkerLines = 48;
+
+std::uint64_t random_seed() {
+    std::random_device device;
+    return (std::uint64_t{device()} << 32) | device();
+}
+}  // namespace
+
+Ms Process::now() {
+    return std::chrono::duration_cast<std::chrono::milliseconds>(
+               std::chrono::steady_clock::now().time_since_epoch())
+        .count();
+}
+
+Process::Process(Platform platform, Policy policy)
+    : platform_(platform), base_(event_base_new()), node_(platform, std::move(policy), random_seed()) {
+    if (!base_) throw std::runtime_error("no event loop");
+    node_.set_stopwatch([] {
+        return std::chrono::duration_cast<std::chrono::microseconds>(
+                   std::chrono::steady_clock::now().time_since_epoch())
+            .count();
+    });
+    event_base* base = base_.get();
+    // Connections to state, cloud, workers and peers come first; users and workers get the rest.
+    std::size_t reserve = 16 + kMostWorkerLines + 4 * platform_.peers.size();
+    std::size_t most = platform_.fd_limit > 2 * reserve ? platform_.fd_limit - reserve
+                                                        : platform_.fd_limit / 2;
+    server_ = std::make_unique<HttpServer>(base, platform_.serve_on, most,
+                                           [this](const Input& in) { step(in); });
+    peers_ = std::make_unique<PeerLink>(base, platform_.cluster_listen, platform_.peers,
+                                        [this](const PeerInput& in) { step(in); });
+    // Leases and watches wait behind nothing else.
+    state_lease_ = std::make_unique<HttpClient>(base, platform_.state, 1, kStateTimeout, true);
+    state_watch_ = std::make_unique<HttpClient>(base, platform_.state, 1, kWatchTimeout, true);
+    state_ = std::make_unique<HttpClient>(base, platform_.state, 5, kStateTimeout, true);
+    cloud_ = std::make_unique<HttpClient>(base, platform_.cloud, 2, kCloudTimeout, true);
+    wake_.reset(evtimer_new(base, on_wake, this));
+    timeval soon{0, 1000};
+    evtimer_add(wake_.get(), &soon);
+}
+
+int Process::run() {
+    spdlog::info("{} serves on {}, incarnation {}", platform_.node_name, platform_.serve_on,
+                 platform_.incarnation);
+    return event_base_dispatch(base_.get()) < 0 ? 1 : 0;
+}
+
+void Process::on_wake(evutil_socket_t, short, void* arg) {
+    auto* self = static_cast<Process*>(arg);
+    Ms at = now();
+    std::erase_if(self->workers_, [at](const auto& line) {
+        return line.second.client->idle() && at > line.second.used + 8000;
+    });
+    self->step(TickInput{});
+}
+
+void Process::step(const Input& input) {
+    // A call that fails at once comes back while the outputs are still being carried out.
+    if (stepping_) {
+        pending_.push_back(input);
+        return;
+    }
+    stepping_ = true;
+    Outputs out = node_.step(now(), input);
+    for (Output& o : out) route(o);
+    while (!pending_.empty()) {
+        Input next = std::move(pending_.front());
+        pending_.pop_front();
+        out = node_.step(now(), next);
+        for (Output& o : out) route(o);
+    }
+    stepping_ = false;
+}
+
+void Process::route(Output& output) {
+    std::visit(
+        [this](auto& o) {
+            using T = std::decay_t<decltype(o)>;
+            if constexpr (std::is_same_v<T, UserAnswer> || std::is_same_v<T, BeatAnswer>) {
+                server_->answer(o.request, protocol::encode(o));
+            } else if constexpr (std::is_same_v<T, StateCall>) {
+                call_state(std::move(o));
+            } else if constexpr (std::is_same_v<T, CloudCall>) {
+                protocol::HttpCall http = protocol::encode(o);
+                cloud_->send(std::move(http), [this, call = o](int code, std::string_view body) {
+                    step(protocol::decode_cloud(call, code, body, node_.names()));
+                });
+            } else if constexpr (std::is_same_v<T, WorkerCall>) {
+                call_worker(std::move(o));
+            } else if constexpr (std::is_same_v<T, PeerSend>) {
+                peers_->send(o);
+            } else if constexpr (std::is_same_v<T, WakeAt>) {
+                Ms wait = std::max<Ms>(1, o.at - now());
+                timeval tv = to_timeval(wait);
+                evtimer_add(wake_.get(), &tv);
+            }
+        },
+        output);
+}
+
+void Process::call_state(StateCall call) {
+    HttpClient* client = state_.get();
+    if (call.verb == StateVerb::changes && call.wait_ms > 0) client = state_watch_.get();
+    if (call.verb == StateVerb::lease_touch) client = state_lease_.get();
+    protocol::HttpCall http = protocol::encode(call);
+    call.txn = {};  // the answer is understood without it
+    client->send(std::move(http), [this, call = std::move(call)](int code, std::string_view body) {
+        step(protocol::decode_state(call, code, body));
+    });
+}
+
+void Process::call_worker(WorkerCall call) {
+    auto it = workers_.find(call.address);
+    if (it == workers_.end()) {
+        if (workers_.size() >= kMostWorkerLines) {
+            step(WorkerReply{call.call, 0, std::nullopt});
+            return;
+        }
+        WorkerLine line;
+        line.client =
+            std::make_unique<HttpClient>(base_.get(), call.address, 1, kWorkerTimeout, false);
+        it = workers_.emplace(call.address, std::move(line)).first;
+    }
+    it->second.used = now();
+    it->second.client->send(protocol::encode(call),
+                            [this, id = call.call](int code, std::string_view body) {
+                                step(protocol::decode_worker(id, code, body));
+                            });
+}
+
+}  // namespace walkford::transport
--- /dev/null
+++ b/src/transport/process.hpp
@@ -0,0 +1,46 @@
+// The running process: the core between its sockets and timers.
+#pragma once
+
+#include <map>
+
+#include "coordination/node.hpp"
+#include "transport/http_client.hpp"
+#include "transport/http_server.hpp"
+#include "transport/peer_link.hpp"
+
+namespace walkford::transport {
+
+class Process {
+  public:
+    Process(Platform platform, Policy policy);
+    // Runs until killed; returns only when the event loop fails.
+    int run();
+
+  private:
+    void step(const Input& input);
+    void route(Output& output);
+    void call_state(StateCall call);
+    void call_worker(WorkerCall call);
+    static void on_wake(evutil_socket_t, short, void* self);
+    static Ms now();
+
+    Platform platform_;
+    EventBase base_;
+    Node node_;
+    std::unique_ptr<HttpServer> server_;
+    std::unique_ptr<PeerLink> peers_;
+    std::unique_ptr<HttpClient> state_lease_;
+    std::unique_ptr<HttpClient> state_watch_;
+    std::unique_ptr<HttpClient> state_;
+    std::unique_ptr<HttpClient> cloud_;
+    struct WorkerLine {
+        std::unique_ptr<HttpClient> client;
+        Ms used = 0;
+    };
+    std::map<std::string, WorkerLine> workers_;
+    Event wake_;
+    bool stepping_ = false;
+    std::deque<Input> pending_;
+};
+
+}  // namespace walkford::transport
