--- a/src/coordination/cloud_dialogue.cpp
+++ b/src/coordination/cloud_dialogue.cpp
@@ -94,8 +94,8 @@
 
 bool CloudDialogue::can_rent(Id kind, Id zone, bool spot, Ms now) const {
     if (!loaded_) return false;
-    auto it = refused_until_.find({kind, zone, spot});
-    if (it != refused_until_.end() && now < it->second) return false;
+    auto it = refused_.find({kind, zone, spot});
+    if (it != refused_.end() && now < it->second.until) return false;
     return std::none_of(registry_.hires.begin(), registry_.hires.end(), [&](const Hire& h) {
         return h.kind == kind && h.zone == zone && h.spot == spot;
     });
@@ -129,6 +129,15 @@
     return true;
 }
 
+// Asked again later and later, and another kind at once: a cheap kind that is always refused must
+// not keep the dearer one behind it from being asked for.
+void CloudDialogue::ran_out(Ms now, Id kind, Id zone, bool spot) {
+    Refusal& r = refused_[{kind, zone, spot}];
+    r.times = std::min(r.times + 1, 4);
+    r.until = now + to_ms(term_.core.policy.no_capacity_backoff_s) * (Ms{1} << (r.times - 1));
+    term_.rent_now = true;
+}
+
 void CloudDialogue::ask(Ms now, const std::string& name) {
     auto find = [this, name] {
         return std::find_if(registry_.hires.begin(), registry_.hires.end(),
@@ -154,12 +163,10 @@
             auto hire = find();
             if (hire == registry_.hires.end()) return;
             Books& books = term_.books;
-            std::tuple option{hire->kind, hire->zone, hire->spot};
             if (r.status == 200) {
                 spdlog::info("hire {}: {} of {} machines", name, r.names.size(), hire->count);
-                if (r.names.size() < hire->count) {
-                    refused_until_[option] = at + to_ms(term_.core.policy.no_capacity_backoff_s);
-                }
+                if (!r.names.empty()) refused_.erase({hire->kind, hire->zone, hire->spot});
+                if (r.names.size() < hire->count) ran_out(at, hire->kind, hire->zone, hire->spot);
                 for (const std::string& machine : r.names) {
                     if (returned_.count(machine)) continue;
                     Id id = books.add_machine(machine, hire->kind, hire->zone, hire->spot, at);
@@ -182,13 +189,13 @@
             } else if (r.status == 503 && r.more) {
                 // No capacity: surely not executed. (`more` is set for that answer alone.)
                 spdlog::info("hire {}: no capacity", name);
-                refused_until_[option] = at + to_ms(term_.core.policy.no_capacity_backoff_s);
+                ran_out(at, hire->kind, hire->zone, hire->spot);
                 registry_.hires.erase(hire);
                 changed();
                 write(at);
             } else if (r.status == 400) {
                 spdlog::error("hire {} was refused as malformed", name);
-                refused_until_[option] = at + 60000;
+                refused_[{hire->kind, hire->zone, hire->spot}] = {at + 60000, 1};
                 registry_.hires.erase(hire);
                 changed();
                 write(at);
--- a/src/coordination/cloud_dialogue.hpp
+++ b/src/coordination/cloud_dialogue.hpp
@@ -53,7 +53,12 @@
     std::vector<Waiting> waiting_;
     std::set<std::string> asking_;             // hires with a request open
     std::map<std::string, Ms> ask_again_;      // ... or to be repeated
-    std::map<std::tuple<Id, Id, bool>, Ms> refused_until_;
+    void ran_out(Ms now, Id kind, Id zone, bool spot);
+    struct Refusal {
+        Ms until = 0;
+        int times = 0;
+    };
+    std::map<std::tuple<Id, Id, bool>, Refusal> refused_;
     std::set<std::string> to_return_;          // marked durably, the cloud is to be asked
     std::map<std::string, Ms> returned_;       // answered: the late list may still show them
     bool returning_ = false;
--- a/src/coordination/leader.hpp
+++ b/src/coordination/leader.hpp
@@ -19,6 +19,7 @@
     bool act = false;     // our lease is surely ours: start, rent and write
     Ms answer_until = 0;  // until then beats may be answered 200
     bool place_now = true;
+    bool rent_now = false;  // the cloud ran out of one kind: the next is asked for at once
     std::function<void(Ms, const char*)> depose;
     std::function<void(Ms)> refresh;  // asks for a proven view
     // Calls that outlive the term find this gone.
--- a/src/coordination/scaler.cpp
+++ b/src/coordination/scaler.cpp
@@ -271,15 +271,17 @@
 }
 
 void Scaler::tick(Ms now, const WorkerDialogue& workers, CloudDialogue& cloud) {
-    if (now < next_) return;
+    if (now < next_ && !term_.rent_now) return;
     next_ = now + kTick;
+    bool at_once = term_.rent_now;
+    term_.rent_now = false;
     if (!cloud.known() || term_.books.kinds().empty()) return;
     survey(now, workers, cloud);
     // A new leader has not heard all machines yet: it waits one interval before it rents.
     if (out_at_ < 0) out_at_ = term_.elected_at;
     std::vector<Room> trial = rooms_;
     left_ = unplaceable(trial);
-    if (now >= out_at_ + to_ms(term_.core.policy.out_interval_s)) {
+    if (at_once || now >= out_at_ + to_ms(term_.core.policy.out_interval_s)) {
         rent_by_rule(now, cloud);
         rent_for_unplaceable(now, cloud);
     }
--- a/src/protocol/wire.cpp
+++ b/src/protocol/wire.cpp
@@ -72,7 +72,8 @@
     text(b, "lane");
     q.team_name = text(b, "owner");
     std::string shape = text(b, "shape");
-    if (shape != "batch" && shape != "ensemble") throw BadField{"bad shape"};
+    // `service`: independent tasks that run until cancelled (docs/questions.md); to us, a batch.
+    if (shape != "batch" && shape != "ensemble" && shape != "service") throw BadField{"bad shape"};
     s.gang = shape == "ensemble";
     std::string rank = text(b, "rank");
     if (rank == "prod") {
