--- a/src/bookkeeping/books.cpp
+++ b/src/bookkeeping/books.cpp
@@ -40,6 +40,12 @@
     j.cancelled = view.record.cancelled;
     j.known_since = now;
     j.waiting_since = now;
+    if (j.spec.lane != kNone) {
+        auto it = std::find_if(shapes.begin(), shapes.end(),
+                               [&](const Shape& s) { return s.lane == j.spec.lane; });
+        if (it == shapes.end()) it = shapes.insert(shapes.end(), Shape{});
+        *it = {j.spec.lane, j.spec, now};
+    }
     j.chunks.resize((j.spec.tasks + j.spec.chunk - 1) / j.spec.chunk);
     job_ids_[j.spec.id] = id;
     return id;
@@ -91,6 +97,16 @@
     machine_ids_.erase(m.name);
 }
 
+std::uint32_t Books::slots(const JobSpec& s, Id kind, Id zone, bool spot, const Amounts& free) {
+    if (!s.allows_kind(kind) || (s.zone != kNone && s.zone != zone) || (spot && !s.spot)) return 0;
+    double n = 1000;
+    for (int r = 0; r < kResources; ++r) {
+        double each = s.each.get(r);
+        if (each > 0) n = std::min(n, std::floor((free.get(r) + 1e-6) / each));
+    }
+    return n <= 0 ? 0 : static_cast<std::uint32_t>(n);
+}
+
 std::uint32_t Books::chunk_size(const JobSpec& spec, std::uint32_t index) const {
     return std::min(spec.chunk, spec.tasks - index * spec.chunk);
 }
--- a/src/bookkeeping/books.hpp
+++ b/src/bookkeeping/books.hpp
@@ -131,11 +131,20 @@
     Ms last_error = -1;
     bool sick = false;
     Ms avoid_until = 0;
+    Id kept_for = kNone;     // room is being made here for this job ...
+    Ms kept_until = -1;      // ... and no other may take it until then
     Ms idle_since = 0;
     Ms probe_at = 0;
     bool probing = false;
 };
 
+// What jobs of a class look like, by the latest one seen.
+struct Shape {
+    Id lane = kNone;
+    JobSpec spec;
+    Ms seen = 0;
+};
+
 class Books {
   public:
     Books(Names& names, std::vector<Team> teams);
@@ -150,6 +159,7 @@
     std::deque<Job> jobs;
     std::deque<Machine> machines;
     Names& names;
+    std::vector<Shape> shapes;
     std::set<std::pair<Id, std::uint32_t>> dirty;  // chunks that differ from the durable record
 
     Id find_job(const std::string& id) const;
@@ -185,6 +195,9 @@
     void commit(Id job, std::uint32_t chunk, const std::vector<TaskRecord>& stored,
                 std::uint64_t stamp);
 
+    // How many tasks like this fit into free room on such a machine; 0 where the job isn't allowed.
+    static std::uint32_t slots(const JobSpec& spec, Id kind, Id zone, bool spot,
+                               const Amounts& free);
     std::uint32_t chunk_size(const JobSpec& spec, std::uint32_t index) const;
 
   private:
--- a/src/bookkeeping/records.cpp
+++ b/src/bookkeeping/records.cpp
@@ -38,6 +38,7 @@
     v["n"] = s.tasks;
     v["c"] = s.chunk;
     v["o"] = names.teams.name(s.team);
+    if (s.lane != kNone) v["l"] = names.lanes.name(s.lane);
     v["p"] = static_cast<int>(s.priority);
     v["f"] = (s.gang ? 1 : 0) | (s.one_zone ? 2 : 0) | (s.spread ? 4 : 0) | (s.spot ? 8 : 0);
     v["r"] = Json::array({s.each.cpus, s.each.gpus, s.each.ram});
@@ -61,6 +62,7 @@
         s.tasks = v.at("n").get<std::uint32_t>();
         s.chunk = std::max<std::uint32_t>(1, v.at("c").get<std::uint32_t>());
         s.team = names.teams.intern(v.at("o").get<std::string>());
+        if (v.contains("l")) s.lane = names.lanes.intern(v["l"].get<std::string>());
         s.priority = static_cast<Priority>(std::clamp(v.at("p").get<int>(), 0, 3));
         int flags = v.at("f").get<int>();
         s.gang = (flags & 1) != 0;
--- a/src/bookkeeping/types.hpp
+++ b/src/bookkeeping/types.hpp
@@ -76,6 +76,7 @@
     Interner zones;
     Interner teams;
     Interner images;
+    Interner lanes;
 };
 
 enum class Priority : std::uint8_t { best_effort = 0, normal = 1, high = 2, production = 3 };
@@ -83,6 +84,7 @@
 struct JobSpec {
     std::string id;
     Id team = kNone;
+    Id lane = kNone;  // the class of jobs it belongs to
     bool gang = false;
     Priority priority = Priority::normal;
     std::uint32_t tasks = 1;
--- a/src/coordination/io.hpp
+++ b/src/coordination/io.hpp
@@ -26,6 +26,7 @@
     bool kinds_named = false;
     std::vector<std::string> kind_names;
     std::string team_name;
+    std::string lane_name;
     std::string image_name;
 };
 struct PollRequest {
--- a/src/coordination/leader.cpp
+++ b/src/coordination/leader.cpp
@@ -1,5 +1,6 @@
 #include "coordination/leader.hpp"
 
+#include <spdlog/fmt/ranges.h>
 #include <spdlog/spdlog.h>
 
 #include <algorithm>
@@ -82,7 +83,7 @@
       fates_(term_),
       cloud_(term_, fates_),
       workers_(term_, fates_),
-      placer_(term_),
+      placer_(term_, fates_),
       scaler_(term_) {
     Books& books = term_.books;
     books.set_kinds(core.kinds);
@@ -201,6 +202,7 @@
             }
             b.dirty.insert({job, index});
             chunk.retry_at = at + kRetry;
+            if (r.status == 409) spdlog::debug("write of {} found {} changed", key, fmt::join(r.failed, " "));
             if (r.status != 409) return;  // the same conditions again: at most one copy takes effect
             for (const std::string& failed : r.failed) {
                 if (failed == keys::kLeader) {
--- a/src/coordination/placer.cpp
+++ b/src/coordination/placer.cpp
@@ -3,6 +3,7 @@
 #include <spdlog/spdlog.h>
 
 #include <algorithm>
+#include <cmath>
 #include <chrono>
 
 #include "coordination/leader.hpp"
@@ -11,6 +12,7 @@
 
 namespace {
 constexpr Ms kRoundEvery = 400;
+constexpr Ms kShapeKept = 600000;  // a class not seen for so long is not kept room for
 // Placements not yet written are bounded: more would only wait for the state service.
 constexpr std::uint32_t kMostPerJob = 256;
 }  // namespace
@@ -33,10 +35,90 @@
     return order;
 }
 
+double Placer::regret(const Job& job, const Machine& m, const Kind& kind) const {
+    const Books& books = term_.books;
+    double sum = 0;
+    Amounts free = kind.size - m.used;
+    for (std::size_t i = 0; i < books.shapes.size(); ++i) {
+        const Shape& shape = books.shapes[i];
+        if (shape.lane == job.spec.lane || i >= lane_slots_.size()) continue;
+        auto before = Books::slots(shape.spec, m.kind, m.zone, m.spot, free);
+        if (before == 0) continue;
+        auto after = Books::slots(shape.spec, m.kind, m.zone, m.spot, free - job.spec.each);
+        sum += static_cast<double>(before - after) / std::max(1.0, lane_slots_[i]);
+    }
+    return sum;
+}
+
+// Keeps lane_slots_ right while a round goes on.
+void Placer::take_slots(const Machine& m, const Amounts& each) {
+    const Books& books = term_.books;
+    const Kind* kind = books.kind(m.kind);
+    for (std::size_t i = 0; kind && i < lane_slots_.size(); ++i) {
+        Amounts free = kind->size - m.used;
+        lane_slots_[i] -= Books::slots(books.shapes[i].spec, m.kind, m.zone, m.spot, free);
+        lane_slots_[i] += Books::slots(books.shapes[i].spec, m.kind, m.zone, m.spot, free - each);
+    }
+}
+
+bool Placer::kept(const Job& job, const Machine& m, const Kind& kind) const {
+    const Books& books = term_.books;
+    if (term_.core.policy.keep_slots == 0) return false;
+    double own = 1e18;
+    for (std::size_t i = 0; i < lane_aim_.size(); ++i) {
+        if (books.shapes[i].lane == job.spec.lane) own = lane_aim_[i];
+    }
+    Amounts free = kind.size - m.used;
+    for (std::size_t i = 0; i < lane_slots_.size(); ++i) {
+        const JobSpec& other = books.shapes[i].spec;
+        if (books.shapes[i].lane == job.spec.lane || lane_aim_[i] >= own) continue;
+        double lost = Books::slots(other, m.kind, m.zone, m.spot, free) -
+                      Books::slots(other, m.kind, m.zone, m.spot, free - job.spec.each);
+        if (lost <= 0 || lane_slots_[i] - lost >= term_.core.policy.keep_slots) continue;
+        // Only from those who have somewhere else to go: a kind of machine that the other class
+        // can't use.
+        for (const Machine& e : books.machines) {
+            const Kind* k = books.kind(e.kind);
+            if (!e.held || e.gone || !k) continue;
+            if (Books::slots(job.spec, e.kind, e.zone, e.spot, k->size) > 0 &&
+                Books::slots(other, e.kind, e.zone, e.spot, k->size) == 0) {
+                return true;
+            }
+        }
+    }
+    return false;
+}
+
+void Placer::count_slots(Ms now, const std::vector<Id>& usable) {
+    const Books& books = term_.books;
+    lane_slots_.assign(books.shapes.size(), 0);
+    lane_aim_.assign(books.shapes.size(), 1e18);
+    for (std::size_t i = 0; i < books.shapes.size(); ++i) {
+        for (const WaitAim& aim : term_.core.platform.wait_aims) {
+            if (books.names.lanes.find(aim.lane) == books.shapes[i].lane) {
+                lane_aim_[i] = std::min(lane_aim_[i], aim.within_s);
+            }
+        }
+    }
+    for (std::size_t i = 0; i < books.shapes.size(); ++i) {
+        if (now > books.shapes[i].seen + kShapeKept) {
+            lane_slots_[i] = 1e9;
+            continue;
+        }
+        for (Id id : usable) {
+            const Machine& m = books.machines[id];
+            if (const Kind* kind = books.kind(m.kind)) {
+                lane_slots_[i] += Books::slots(books.shapes[i].spec, m.kind, m.zone, m.spot,
+                                               kind->size - m.used);
+            }
+        }
+    }
+}
+
 Id Placer::choose(const Job& job, const std::vector<Id>& usable, Id zone_only) const {
     const Books& books = term_.books;
     const JobSpec& s = job.spec;
-    using Score = std::tuple<int, int, int, int, double, Id>;
+    using Score = std::tuple<int, double, int, int, double, Id>;
     Score best{9, 9, 9, 9, 0, kNone};
     for (Id id : usable) {
         const Machine& m = books.machines[id];
@@ -50,13 +132,14 @@
         }
         const Kind* kind = books.kind(m.kind);
         if (!kind || !s.each.fits_in(kind->size - m.used)) continue;
-        // The order in which machines are tried: where this job hasn't failed, where no GPU lies
-        // idle for it, where the image is, spot first for those who may, then the fullest.
-        bool wasteful = s.each.gpus <= 0 && kind->size.gpus > 0;
+        if (m.kept_for != kNone && term_.books.find_job(s.id) != m.kept_for) continue;
+        if (kept(job, m, *kind)) continue;
+        // The order in which machines are tried: where this job hasn't failed, where other classes
+        // lose least room, where the image is, spot first for those who may, then the fullest.
         bool image = s.image == kNone || m.images.count(s.image) != 0;
         double left = kind->size.cpus > 0 ? (kind->size.cpus - m.used.cpus) / kind->size.cpus : 0;
-        Score score{job.failed_on.count(id) || !m.error_jobs.empty() ? 1 : 0, wasteful ? 1 : 0,
-                    image ? 0 : 1, s.spot && !m.spot ? 1 : 0, left, id};
+        Score score{job.failed_on.count(id) || !m.error_jobs.empty() ? 1 : 0,
+                    std::round(regret(job, m, *kind) * 8) / 8, image ? 0 : 1, s.spot && !m.spot ? 1 : 0, left, id};
         if (score < best) best = score;
     }
     return std::get<5>(best);
@@ -78,6 +161,7 @@
             index = j.next_fresh++;
         }
         TaskRef ref{id, index};
+        take_slots(books.machines[machine], j.spec.each);
         books.place(ref, machine, books.task(ref).attempt + 1, now);
         spdlog::debug("{}/{} attempt {} to {}", j.spec.id, index, books.task(ref).attempt,
                       books.machines[machine].name);
@@ -119,6 +203,7 @@
         for (std::uint32_t i = 0; i < s.tasks; ++i) {
             Id machine = choose(books.jobs[id], usable, zone);
             if (machine == kNone) break;
+            take_slots(books.machines[machine], s.each);
             books.place({id, i}, machine, attempt, now);
             placed.push_back(i);
         }
@@ -147,10 +232,17 @@
     for (Id id = 0; id < books.machines.size(); ++id) {
         if (workers.usable(books.machines[id], now)) usable.push_back(id);
     }
+    for (Machine& m : books.machines) {
+        if (m.kept_for != kNone && (now >= m.kept_until || !books.jobs[m.kept_for].alive ||
+                                    books.jobs[m.kept_for].waiting() == 0)) {
+            m.kept_for = kNone;
+        }
+    }
     if (cursor_ >= order_.size()) {
         order_ = waiting_order(books, now);
         cursor_ = 0;
     }
+    count_slots(now, usable);
     // The budget keeps beats and leases answered in time when thousands of jobs wait.
     auto deadline = term_.core.stopwatch() + to_ms(term_.core.policy.round_budget_ms);
     while (cursor_ < order_.size()) {
@@ -168,6 +260,95 @@
             break;
         }
     }
+    if (term_.core.policy.preempt && now >= preempt_at_) {
+        preempt_at_ = now + 500;
+        preempt(now, usable);
+    }
+}
+
+// Room for work of higher priority, or for a team within its guarantee from one beyond its own. The
+// work stopped saves first; the room is kept for whom it was made.
+void Placer::preempt(Ms now, const std::vector<Id>& usable) {
+    Books& books = term_.books;
+    const Policy& policy = term_.core.policy;
+    int made = 0;
+    for (Id id : order_) {
+        Job& j = books.jobs[id];
+        const JobSpec& s = j.spec;
+        if (!j.alive || j.cancelled || j.ending || j.waiting() == 0 || j.not_before > now) continue;
+        if (now < j.waiting_since + to_ms(policy.preempt_after_s)) continue;
+        if ((s.gang && s.tasks > 1) || !books.within_limit(s.team, s.each)) continue;
+        bool guaranteed = books.within_guarantee(s.team, s.each);
+        bool being_made = std::any_of(books.machines.begin(), books.machines.end(),
+                                      [&](const Machine& m) { return m.kept_for == id; });
+        if (being_made) continue;
+        double best_cost = 1e18;
+        Id best = kNone;
+        std::vector<TaskRef> best_victims;
+        for (Id mid : usable) {
+            const Machine& m = books.machines[mid];
+            const Kind* kind = books.kind(m.kind);
+            if (!kind || m.kept_for != kNone ||
+                Books::slots(s, m.kind, m.zone, m.spot, kind->size) == 0) {
+                continue;
+            }
+            if (s.one_zone && !j.zones.empty() && j.zones.begin()->first != m.zone) continue;
+            if (s.spread && j.zones.count(m.zone) && j.zones.at(m.zone) >= s.zone_most()) continue;
+            if (j.failed_on.count(mid)) continue;
+            std::vector<std::pair<double, TaskRef>> victims;
+            for (TaskRef ref : m.tasks) {
+                const Job& v = books.jobs[ref.job];
+                const Task& t = books.task(ref);
+                if (t.halting || (v.spec.gang && v.spec.tasks > 1)) continue;
+                const Team* team = books.team(v.spec.team);
+                bool beyond = guaranteed && team && v.spec.team != s.team &&
+                              !books.within_guarantee(v.spec.team, Amounts{});
+                if (v.spec.priority >= s.priority && !beyond) continue;
+                double ran = t.running_since < 0 ? 0 : static_cast<double>(now - t.running_since) / 1000.0;
+                double cost = 1 + (v.spec.checkpoint_s > 0 ? v.spec.save_s : ran);
+                // One that is nearly over frees its room by itself.
+                if (t.running_since >= 0 && v.spec.estimate_s > 0 && ran > 0.8 * v.spec.estimate_s) {
+                    cost += v.spec.save_s;
+                }
+                victims.emplace_back(cost, ref);
+            }
+            std::sort(victims.begin(), victims.end());
+            Amounts free = kind->size - m.used;
+            double cost = 0;
+            std::vector<TaskRef> chosen;
+            std::map<Id, Amounts> taken;  // a team is not pushed below its guarantee
+            for (const auto& [c, ref] : victims) {
+                if (s.each.fits_in(free)) break;
+                const Job& v = books.jobs[ref.job];
+                Amounts& gone = taken[v.spec.team];
+                if (v.spec.priority >= s.priority &&
+                    books.within_guarantee(v.spec.team, Amounts{} - gone)) {
+                    continue;
+                }
+                gone += v.spec.each;
+                free += v.spec.each;
+                cost += c;
+                chosen.push_back(ref);
+            }
+            if (chosen.empty() || !s.each.fits_in(free)) continue;
+            if (cost < best_cost) {
+                best_cost = cost;
+                best = mid;
+                best_victims = std::move(chosen);
+            }
+        }
+        if (best == kNone) continue;
+        Machine& m = books.machines[best];
+        double save = 0;
+        for (TaskRef ref : best_victims) save = std::max(save, books.jobs[ref.job].spec.save_s);
+        spdlog::info("{} takes room on {}: {} tasks are stopped", s.id, m.name, best_victims.size());
+        m.kept_for = id;
+        m.kept_until = now + to_ms(save + 2 * term_.core.platform.report_s) + 3000;
+        for (TaskRef ref : best_victims) {
+            fates_.halt(ref, books.jobs[ref.job].spec.save_s + 1, now, true);
+        }
+        if (++made >= 2) return;
+    }
 }
 
 }  // namespace walkford
--- a/src/coordination/placer.hpp
+++ b/src/coordination/placer.hpp
@@ -11,7 +11,7 @@
 
 class Placer {
   public:
-    explicit Placer(Term& term) : term_(term) {}
+    Placer(Term& term, Fates& fates) : term_(term), fates_(fates) {}
 
     // One round, within the time budget; the next goes on where this one stopped.
     void round(Ms now, const WorkerDialogue& workers);
@@ -24,13 +24,24 @@
     bool place_gang(Ms now, Id job, const std::vector<Id>& usable);
     // The first machine, in this task's order, that fits; kNone if none does.
     Id choose(const Job& job, const std::vector<Id>& usable, Id zone_only) const;
-    bool preempt(Ms now, const std::vector<Id>& order);
+    // What placing a task there takes away from classes that could use the room: slots lost, as a
+    // share of all the slots such a class has left.
+    double regret(const Job& job, const Machine& m, const Kind& kind) const;
+    void count_slots(Ms now, const std::vector<Id>& usable);
+    void take_slots(const Machine& m, const Amounts& each);
+    // Must the machine be left to classes with a tighter aim on starting?
+    bool kept(const Job& job, const Machine& m, const Kind& kind) const;
+    void preempt(Ms now, const std::vector<Id>& usable);
 
     Term& term_;
+    Fates& fates_;
     Ms next_ = 0;
     Ms preempt_at_ = 0;
     std::vector<Id> order_;
     std::size_t cursor_ = 0;
+    // By books.shapes: free slots in the fleet, and the tightest aim on starting.
+    std::vector<double> lane_slots_;
+    std::vector<double> lane_aim_;
 };
 
 }  // namespace walkford
--- a/src/coordination/policy.hpp
+++ b/src/coordination/policy.hpp
@@ -20,8 +20,9 @@
     bool rent_unplaceable = true;
     double unplaceable_after_s = 0.5;
     double spot_prefer = 1.0;  // 0: never rent spot
-    double idle_return_s = 45;
-    double idle_keep_price = 0.0;
+    double idle_cost = 0.05;
+    double dear_ratio = 2.0;
+    double dear_patience_s = 25;
     double boot_give_up = 3.5;
     double boot_late = 1.7;
     double no_capacity_backoff_s = 15;
@@ -31,7 +32,8 @@
     double takeover_probe_s = 5;
     double unseen_return_s = 40;
     bool preempt = true;
-    double preempt_after_s = 4;
+    double preempt_after_s = 2;
+    std::uint32_t keep_slots = 2;
 };
 
 struct Peer {
@@ -39,6 +41,12 @@
     std::string address;
 };
 
+// An aim on starting: tasks of the class are to start within so many seconds.
+struct WaitAim {
+    std::string lane;
+    double within_s = 0;
+};
+
 struct Platform {
     std::string node_name;
     std::string incarnation;  // random for every start: never only the node's name
@@ -49,6 +57,7 @@
     std::string state;
     std::vector<Team> teams;
     std::vector<std::string> zones;
+    std::vector<WaitAim> wait_aims;
     double report_s = 2;
     double lease_s = 10;
     double gang_wait_s = 30;
--- a/src/coordination/scaler.cpp
+++ b/src/coordination/scaler.cpp
@@ -15,8 +15,7 @@
 }  // namespace
 
 bool Scaler::fits(const JobSpec& s, const Room& r) {
-    return s.allows_kind(r.kind) && (s.zone == kNone || s.zone == r.zone) && (s.spot || !r.spot) &&
-           s.each.fits_in(r.free);
+    return Books::slots(s, r.kind, r.zone, r.spot, r.free) > 0;
 }
 
 void Scaler::survey(Ms now, const WorkerDialogue& workers, const CloudDialogue& cloud) {
@@ -115,50 +114,57 @@
     const Books& books = term_.books;
     const Policy& policy = term_.core.policy;
     std::vector<Option> list;
+    double cheapest = 1e18;
     for (const Kind& k : books.kinds()) {
         if (resource >= 0 && k.size.get(resource) <= 0) continue;
         for (Id zone : k.zones) {
             for (bool spot : {true, false}) {
                 if (spot && (policy.spot_prefer <= 0 || k.spot_price <= 0)) continue;
-                if (!cloud.can_rent(k.id, zone, spot, now)) continue;
                 auto suits = [&](const JobSpec& spec) {
-                    return fits(spec, Room{k.size, k.id, zone, spot, kNone, {}});
+                    return Books::slots(spec, k.id, zone, spot, k.size);
                 };
-                bool any = s ? suits(*s)
+                bool any = s ? suits(*s) > 0
                              : std::any_of(left_.begin(), left_.end(), [&](const Demand& d) {
-                                   return suits(books.jobs[d.job].spec);
+                                   return suits(books.jobs[d.job].spec) > 0;
                                });
                 if (!any) continue;
-                list.push_back({k.id, zone, spot, spot ? k.spot_price : k.price, k.size.cpus});
+                Option o{k.id, zone, spot, spot ? k.spot_price : k.price, k.size.cpus, 0, false};
+                // Price for a task of this job on such a machine, or for the driving resource.
+                o.cost = o.price / (s ? suits(*s) : k.size.get(resource));
+                cheapest = std::min(cheapest, o.cost);
+                if (cloud.can_rent(k.id, zone, spot, now)) list.push_back(o);
             }
         }
     }
+    for (Option& o : list) o.dear = o.cost > policy.dear_ratio * cheapest;
     // Zones take turns: a wave or a cut takes one zone at a time.
     std::map<std::pair<Id, Id>, int> held;
     for (const Machine& m : books.machines) {
         if (m.held && !m.gone) ++held[{m.kind, m.zone}];
     }
     std::stable_sort(list.begin(), list.end(), [&](const Option& a, const Option& b) {
-        auto cost = [&](const Option& o) {
-            const Kind* k = books.kind(o.kind);
-            if (s) {
-                // Price for a task of this job on such a machine.
-                double n = 1e9;
-                if (s->each.cpus > 0) n = std::min(n, std::floor(k->size.cpus / s->each.cpus + 1e-9));
-                if (s->each.ram > 0) n = std::min(n, std::floor(k->size.ram / s->each.ram + 1e-9));
-                if (s->each.gpus > 0) n = std::min(n, std::floor(k->size.gpus / s->each.gpus + 1e-9));
-                return o.price / std::max(1.0, n);
-            }
-            return o.price / std::max(1e-9, k->size.get(resource));
-        };
         if (policy.order == "cores" && a.cores != b.cores) return a.cores > b.cores;
-        double ca = cost(a), cb = cost(b);
-        if (std::abs(ca - cb) > 1e-9) return ca < cb;
+        if (std::abs(a.cost - b.cost) > 1e-9) return a.cost < b.cost;
         return held[{a.kind, a.zone}] < held[{b.kind, b.zone}];
     });
     return list;
 }
 
+// Work that can wait a little is not worth a machine at several times the price.
+bool Scaler::patient(const Option& o, const JobSpec* s, Ms now) const {
+    if (!o.dear) return false;
+    const Books& books = term_.books;
+    const Kind* k = books.kind(o.kind);
+    Ms since = now;
+    for (const Demand& d : left_) {
+        const Job& j = books.jobs[d.job];
+        if (s && j.spec.id != s->id) continue;
+        if (Books::slots(j.spec, o.kind, o.zone, o.spot, k->size) == 0) continue;
+        since = std::min(since, j.waiting_since);
+    }
+    return now < since + to_ms(term_.core.policy.dear_patience_s);
+}
+
 std::uint32_t Scaler::held_of(Id kind, const CloudDialogue& cloud) const {
     std::uint32_t n = 0;
     for (const Machine& m : term_.books.machines) n += m.held && !m.gone && m.kind == kind;
@@ -185,6 +191,7 @@
                   measure_.capacity.get(r);
     for (const Option& o : options(nullptr, r, now, cloud)) {
         if (need <= 1e-6) break;
+        if (patient(o, nullptr, now)) continue;
         double each = term_.books.kind(o.kind)->size.get(r);
         auto n = static_cast<std::uint32_t>(std::clamp(std::ceil(need / each), 1.0, 50.0));
         if (!rent(now, o, n, cloud)) continue;
@@ -212,6 +219,7 @@
             const Job& j = books.jobs[d.job];
             if (now < j.waiting_since + to_ms(policy.unplaceable_after_s)) continue;
             for (const Option& o : options(&j.spec, -1, now, cloud)) {
+                if (patient(o, &j.spec, now)) continue;
                 Room room{books.kind(o.kind)->size, o.kind, o.zone, o.spot, kNone, {}};
                 std::uint32_t per = 0;
                 Room probe = room;
@@ -255,11 +263,11 @@
         // Below the low mark one goes; above it only one that has stood empty for long: a measure
         // held up by one resource says nothing of machines bought for another.
         bool below = measure_.value < policy.mark_low;
-        bool idle = policy.idle_return_s > 0 && now > m.idle_since + to_ms(policy.idle_return_s);
-        if (!below && !idle) continue;
-        if (below && now < m.idle_since + to_ms(std::min(5.0, policy.idle_return_s))) continue;
         double price = m.spot ? kind->spot_price : kind->price;
-        if (!below && price < policy.idle_keep_price) continue;
+        double wasted = price / 3600.0 * static_cast<double>(now - m.idle_since) / 1000.0;
+        bool idle = policy.idle_cost > 0 && wasted > policy.idle_cost;
+        if (!below && !idle) continue;
+        if (below && now < m.idle_since + 5000) continue;
         if (price > best_price) {
             best = id;
             best_price = price;
--- a/src/coordination/scaler.hpp
+++ b/src/coordination/scaler.hpp
@@ -41,6 +41,8 @@
         bool spot = false;
         double price = 0;
         double cores = 0;
+        double cost = 0;    // price for what is short
+        bool dear = false;  // far above the cheapest option there is, had or not
     };
 
     void survey(Ms now, const WorkerDialogue& workers, const CloudDialogue& cloud);
@@ -51,6 +53,7 @@
     void rent_by_rule(Ms now, CloudDialogue& cloud);
     void rent_for_unplaceable(Ms now, CloudDialogue& cloud);
     void give_back(Ms now, CloudDialogue& cloud);
+    bool patient(const Option& o, const JobSpec* for_job, Ms now) const;
     std::uint32_t held_of(Id kind, const CloudDialogue& cloud) const;
     bool rent(Ms now, const Option& o, std::uint32_t n, CloudDialogue& cloud);
 
--- a/src/coordination/state_desk.cpp
+++ b/src/coordination/state_desk.cpp
@@ -1,5 +1,8 @@
 #include "coordination/state_desk.hpp"
 
+#include <spdlog/fmt/ranges.h>
+#include <spdlog/spdlog.h>
+
 #include <algorithm>
 
 namespace walkford {
@@ -102,6 +105,7 @@
             return;
         }
     }
+    if (reply.status == 409) spdlog::debug("state: {} changed", fmt::join(reply.failed, " "));
     p.then(now, reply);
 }
 
--- a/src/coordination/user_desk.cpp
+++ b/src/coordination/user_desk.cpp
@@ -185,6 +185,10 @@
         return;
     }
     JobSpec spec = std::move(q.spec);
+    // Users choose these names; beyond a few hundred classes they are not told apart.
+    if (core_.names.lanes.size() < 256 || core_.names.lanes.find(q.lane_name) != kNone) {
+        spec.lane = core_.names.lanes.intern(q.lane_name);
+    }
     if (!q.image_name.empty()) spec.image = core_.names.images.intern(q.image_name);
     // Sized so that a record with every task on another machine stays within a value.
     spec.chunk = static_cast<std::uint32_t>(
--- a/src/coordination/view_keeper.cpp
+++ b/src/coordination/view_keeper.cpp
@@ -30,7 +30,7 @@
     ready_ = false;
     read_prefix_ = 0;
     read_after_.clear();
-    read_revision_ = 0;
+    read_revision_.reset();
     core_.view.begin_reading();
     read_next(now);
 }
@@ -45,7 +45,9 @@
                 return;
             }
             // Pages are read one after the other; changes are followed from before the first.
-            if (read_revision_ == 0) read_revision_ = std::max<std::uint64_t>(1, r.revision);
+            // (Revision 0 is a good one: taken for "none yet", it once hid the very first change,
+            // the leader's key, from nodes that had read an empty store.)
+            if (!read_revision_) read_revision_ = r.revision;
             for (const StateRow& row : r.rows) core_.view.apply(row);
             if (r.more && !r.rows.empty()) {
                 read_after_ = r.rows.back().key;
@@ -57,7 +59,7 @@
                 read_next(now);
                 return;
             }
-            core_.view.end_reading(read_revision_);
+            core_.view.end_reading(*read_revision_);
             reading_ = false;
             ready_ = true;
             spdlog::info("state read: {} live jobs, revision {}", core_.view.jobs().size(),
--- a/src/coordination/view_keeper.hpp
+++ b/src/coordination/view_keeper.hpp
@@ -33,7 +33,7 @@
     bool reading_ = false;
     std::size_t read_prefix_ = 0;
     std::string read_after_;
-    std::uint64_t read_revision_ = 0;
+    std::optional<std::uint64_t> read_revision_;
     Ms read_at_ = 0;
     bool watching_ = false;
     Ms watch_at_ = 0;
--- a/src/protocol/settings_file.cpp
+++ b/src/protocol/settings_file.cpp
@@ -120,6 +120,8 @@
             std::string kind = o.text("kind");
             if (kind != "wait" && kind != "finished" && kind != "deadline" && kind != "guarantee") {
                 notes.push_back(o.where("kind") + ": '" + kind + "' is not known and ignored");
+            } else if (kind == "wait") {
+                p.wait_aims.push_back({o.text("class"), o.number("within_s", 0, 1e9)});
             }
         }
     }
@@ -179,6 +181,7 @@
         double most;
     };
     double cap = q.cap_per_kind;
+    double keep = q.keep_slots;
     double permanent = q.permanent_first;
     double unplaceable = q.rent_unplaceable ? 1 : 0;
     double preempt = q.preempt ? 1 : 0;
@@ -192,14 +195,16 @@
         {"scale.unplaceable", {&unplaceable, 0, 1}},
         {"scale.unplaceable.after_s", {&q.unplaceable_after_s, 0, 3600}},
         {"scale.spot", {&q.spot_prefer, 0, 1}},
-        {"scale.idle_return_s", {&q.idle_return_s, 0, 86400}},
-        {"scale.idle_keep_price", {&q.idle_keep_price, 0, 1e6}},
+        {"scale.idle_cost", {&q.idle_cost, 0, 1e6}},
+        {"scale.dear.ratio", {&q.dear_ratio, 1, 1e6}},
+        {"scale.dear.patience_s", {&q.dear_patience_s, 0, 3600}},
         {"scale.no_capacity_backoff_s", {&q.no_capacity_backoff_s, 0.5, 3600}},
         {"machines.boot.give_up", {&q.boot_give_up, 1, 100}},
         {"machines.boot.late", {&q.boot_late, 1, 100}},
         {"machines.lost_return_s", {&q.lost_return_s, 0, 3600}},
         {"machines.unseen_return_s", {&q.unseen_return_s, 1, 3600}},
         {"place.round_budget_ms", {&q.round_budget_ms, 0.1, 1000}},
+        {"place.keep_slots", {&keep, 0, 1000}},
         {"place.preempt", {&preempt, 0, 1}},
         {"place.preempt.after_s", {&q.preempt_after_s, 0, 3600}},
         {"leader.lease_s", {&q.lease_ttl_s, 0.5, 600}},
@@ -239,6 +244,7 @@
         }
         *it->second.value = v;
     }
+    q.keep_slots = static_cast<std::uint32_t>(keep);
     q.cap_per_kind = static_cast<std::uint32_t>(cap);
     q.permanent_first = static_cast<std::uint32_t>(permanent);
     q.rent_unplaceable = unplaceable != 0;
--- a/src/protocol/wire.cpp
+++ b/src/protocol/wire.cpp
@@ -69,7 +69,7 @@
     JobSpec& s = q.spec;
     s.id = text(b, "uid");
     if (!job_id_ok(s.id)) throw BadField{"bad uid"};
-    text(b, "lane");
+    q.lane_name = text(b, "lane");
     q.team_name = text(b, "owner");
     std::string shape = text(b, "shape");
     // `service`: independent tasks that run until cancelled (docs/questions.md); to us, a batch.
