--- a/src/bookkeeping/books.cpp
+++ b/src/bookkeeping/books.cpp
@@ -40,6 +40,7 @@
     j.cancelled = view.record.cancelled;
     j.known_since = now;
     j.waiting_since = now;
+    j.start_by = now + start_budget(j.spec);
     if (j.spec.lane != kNone) {
         auto it = std::find_if(shapes.begin(), shapes.end(),
                                [&](const Shape& s) { return s.lane == j.spec.lane; });
--- a/src/bookkeeping/books.hpp
+++ b/src/bookkeeping/books.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <deque>
+#include <functional>
 #include <map>
 #include <memory>
 #include <set>
@@ -58,6 +59,7 @@
     std::uint64_t stamp = 0;
     std::uint64_t born = 0;
     Ms known_since = 0;
+    Ms start_by = 0;       // when its class's aim, or its deadline, wants it started
     bool cancelled = false;
     bool alive = true;     // false: this slot of the table is free
     bool ending = false;   // the final record is being written
@@ -148,6 +150,8 @@
 class Books {
   public:
     Books(Names& names, std::vector<Team> teams);
+    // How long after its arrival a job is to start; an input of the order in which jobs are served.
+    std::function<Ms(const JobSpec&)> start_budget = [](const JobSpec&) { return Ms{0}; };
 
     void set_kinds(const std::vector<Kind>& kinds);
     const std::vector<Kind>& kinds() const { return kinds_; }
--- a/src/coordination/leader.cpp
+++ b/src/coordination/leader.cpp
@@ -87,6 +87,15 @@
       scaler_(term_) {
     Books& books = term_.books;
     books.set_kinds(core.kinds);
+    if (core.policy.place_order == "aim") {
+        books.start_budget = [&core](const JobSpec& s) {
+            double budget = s.deadline_s >= 0 ? std::max(0.0, s.deadline_s - s.estimate_s) : 600.0;
+            for (const WaitAim& aim : core.platform.wait_aims) {
+                if (core.names.lanes.find(aim.lane) == s.lane) budget = std::min(budget, aim.within_s);
+            }
+            return to_ms(budget);
+        };
+    }
     // Machines first: placements name them.
     cloud_.load(now);
     for (const auto& [id, view] : core.view.jobs()) {
--- a/src/coordination/placer.cpp
+++ b/src/coordination/placer.cpp
@@ -29,7 +29,8 @@
     auto rank = [&](Id id) {
         const Job& j = books.jobs[id];
         return std::tuple{-static_cast<int>(j.spec.priority),
-                          books.within_guarantee(j.spec.team, j.spec.each) ? 0 : 1, j.born, id};
+                          books.within_guarantee(j.spec.team, j.spec.each) ? 0 : 1, j.start_by, j.born,
+                          id};
     };
     std::sort(order.begin(), order.end(), [&](Id a, Id b) { return rank(a) < rank(b); });
     return order;
@@ -241,6 +242,7 @@
     if (cursor_ >= order_.size()) {
         order_ = waiting_order(books, now);
         cursor_ = 0;
+        blocked_.clear();
     }
     count_slots(now, usable);
     // The budget keeps beats and leases answered in time when thousands of jobs wait.
@@ -248,8 +250,13 @@
     while (cursor_ < order_.size()) {
         Id id = order_[cursor_++];
         Job& j = books.jobs[id];
-        if (j.alive && !j.cancelled && !j.ending && j.waiting() > 0) {
-            if (j.spec.gang) {
+        if (j.alive && !j.cancelled && !j.ending && j.waiting() > 0 &&
+            !blocked_.count({j.spec.team, j.spec.priority})) {
+            // Who comes first waits for its team's limit; smaller tasks of the team that come later
+            // would take every bit of it that frees up, and a large one would starve.
+            if (books.limit_room(j.spec.team, j.spec.each) < (j.spec.gang ? j.spec.tasks : 1)) {
+                blocked_.insert({j.spec.team, j.spec.priority});
+            } else if (j.spec.gang) {
                 place_gang(now, id, usable);
             } else {
                 place_batch(now, id, usable);
--- a/src/coordination/placer.hpp
+++ b/src/coordination/placer.hpp
@@ -39,6 +39,7 @@
     Ms preempt_at_ = 0;
     std::vector<Id> order_;
     std::size_t cursor_ = 0;
+    std::set<std::pair<Id, Priority>> blocked_;  // teams at their limit, this time round
     // By books.shapes: free slots in the fleet, and the tightest aim on starting.
     std::vector<double> lane_slots_;
     std::vector<double> lane_aim_;
--- a/src/coordination/policy.hpp
+++ b/src/coordination/policy.hpp
@@ -13,7 +13,7 @@
     double mark_low = 0.30;
     double mark_high = 0.85;
     double out_interval_s = 4;
-    double in_interval_s = 10;
+    double in_interval_s = 2;
     std::uint32_t cap_per_kind = 64;
     std::uint32_t permanent_first = 1;
     std::string order = "cost";  // cost | cores
@@ -34,6 +34,7 @@
     bool preempt = true;
     double preempt_after_s = 2;
     std::uint32_t keep_slots = 2;
+    std::string place_order = "aim";  // aim | age
 };
 
 struct Peer {
--- a/src/coordination/scaler.cpp
+++ b/src/coordination/scaler.cpp
@@ -52,6 +52,7 @@
     // Waiting demand, as far as the teams' limits admit it.
     waiting_.clear();
     std::map<Id, Amounts> extra;
+    std::set<Id> blocked;
     std::uint32_t tasks = 0;
     for (Id id : Placer::waiting_order(books, now)) {
         const Job& j = books.jobs[id];
@@ -66,7 +67,11 @@
         Amounts used = books.team_used(j.spec.team) + more;
         double most = std::min(room(team->limit.cpus, used.cpus, j.spec.each.cpus),
                                room(team->limit.gpus, used.gpus, j.spec.each.gpus));
-        if (j.spec.gang && most < n) continue;
+        if (blocked.count(j.spec.team)) continue;
+        if (most < (j.spec.gang ? n : 1)) {
+            blocked.insert(j.spec.team);
+            continue;
+        }
         n = static_cast<std::uint32_t>(std::min<double>(n, most));
         if (n == 0) continue;
         bool fits_some = std::any_of(books.kinds().begin(), books.kinds().end(), [&](const Kind& k) {
--- a/src/protocol/settings_file.cpp
+++ b/src/protocol/settings_file.cpp
@@ -229,6 +229,13 @@
             }
             continue;
         }
+        if (name == "place.order") {
+            q.place_order = file->getString(name);
+            if (q.place_order != "aim" && q.place_order != "age") {
+                throw SettingsError("place.order: must be aim or age");
+            }
+            continue;
+        }
         auto it = numbers.find(name);
         if (it == numbers.end()) throw SettingsError(name + ": no such property");
         double v;
