--- /dev/null
+++ b/tests/standin/world.hpp
@@ -0,0 +1,121 @@
+// A small world in one process: state service, cloud, workers, users and the network between them,
+// on simulated time, written from PROTOCOL's pages alone. It drives several cores and checks the
+// rules by its own records; it never looks into the service's books.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "coordination/node.hpp"
+
+namespace walkford::standin {
+
+struct Options {
+    std::uint64_t seed = 1;
+    Ms duration = 150000;
+    std::size_t nodes = 3;
+    int jobs = 24;
+    bool faults = true;
+    Ms longest_run = 20000;
+    // From then on, for 100 s, the leader reaches the workers and nobody else does; nor does it reach
+    // anything else.
+    Ms split_at = -1;
+    // Mutations: each takes one guard away, and the checks must then find a broken rule.
+    bool strip_fence = false;       // transactions lose their conditions
+    double told_lease_s = 0;        // the service believes this lease instead of the real one
+    double told_cancel_s = 0;       // ... and this time for cancellations
+};
+
+class World {
+  public:
+    explicit World(Options options);
+    ~World();
+    void run();
+
+    std::vector<std::string> violations;
+    int started = 0;
+    int jobs_done = 0;
+    int elections = 0;
+    int accepted = 0;
+
+  private:
+    struct StateService;
+    struct Cloud;
+    struct Worker;
+    struct Job;
+    struct Host;
+    struct Running;
+
+    void at(Ms when, std::function<void()> what);
+    std::int64_t pick(std::int64_t least, std::int64_t most);
+    bool chance(double p);
+    // When a message sent now arrives; -1: never.
+    Ms path(const std::string& from, const std::string& to);
+    template <typename R>
+    void call(const std::string& from, const std::string& to, Ms timeout, R none,
+              std::function<void(std::function<void(R)>)> execute, std::function<void(R)> done);
+
+    void broken(const std::string& rule, const std::string& what);
+    void start_node(std::size_t i);
+    void crash_node(std::size_t i);
+    void feed(std::size_t i, const Input& input);
+    void carry_out(std::size_t i, Output& output);
+    void plan_faults();
+    void one_fault();
+    void split();
+    void cut(const std::string& a, const std::string& b, Ms span, bool hold);
+
+    // workers
+    void add_machine(const std::string& name, Id kind, const std::string& zone, bool spot, Ms up_at);
+    void kill_machine(const std::string& name);
+    void beat(const std::string& name);
+    WorkerReport report(Worker& w);
+    void execute(Worker& w, const Order& o);
+    void changed(Worker& w);
+    void image_ready(const std::string& machine, const std::string& job, std::uint32_t task,
+                     std::uint32_t attempt);
+    void begin(Worker& w, Running& r);
+    void end(Worker& w, Running& r, const std::string& cause, bool kept);
+    void gang_lost(const std::string& job, std::uint32_t attempt);
+    void check_start(const Worker& w, const Running& r);
+    void sweep();
+
+    // users
+    void plan_users();
+    void submit(const std::string& id);
+    void poll(const std::string& id);
+    void cancel(const std::string& id);
+    void ask(const Input& input, Ms timeout, std::function<void(UserAnswer)> done);
+    void told(Job& j, const UserAnswer& a, bool cancelling, Ms asked);
+
+    Options o_;
+    std::mt19937_64 rng_;
+    Ms now_ = 0;
+    std::uint64_t order_ = 0;
+    std::map<std::pair<Ms, std::uint64_t>, std::function<void()>> queue_;
+    struct Cut {
+        std::string a, b;
+        Ms until;
+        bool hold;
+    };
+    std::vector<Cut> cuts_;
+    Platform platform_;
+    Policy policy_;
+    std::vector<Kind> kinds_;  // ids are indices into kind_names_
+    std::vector<std::string> kind_names_;
+    std::vector<std::string> zones_{"a", "b"};
+    std::unique_ptr<StateService> state_;
+    std::unique_ptr<Cloud> cloud_;
+    std::map<std::string, std::unique_ptr<Worker>> workers_;
+    std::map<std::string, std::unique_ptr<Job>> jobs_;
+    std::vector<std::unique_ptr<Host>> hosts_;
+    RequestId next_request_ = 1;
+    int next_machine_ = 1;
+};
+
+}  // namespace walkford::standin
