--- a/src/coordination/placer.cpp
+++ b/src/coordination/placer.cpp
@@ -72,19 +72,26 @@
     Amounts free = kind.size - m.used;
     for (std::size_t i = 0; i < lane_slots_.size(); ++i) {
         const JobSpec& other = books.shapes[i].spec;
-        if (books.shapes[i].lane == job.spec.lane || lane_aim_[i] >= own) continue;
+        if (books.shapes[i].lane == job.spec.lane) continue;
         double lost = Books::slots(other, m.kind, m.zone, m.spot, free) -
                       Books::slots(other, m.kind, m.zone, m.spot, free - job.spec.each);
         if (lost <= 0 || lane_slots_[i] - lost >= term_.core.policy.keep_slots) continue;
-        // Only from those who have somewhere else to go: a kind of machine that the other class
-        // can't use.
-        for (const Machine& e : books.machines) {
-            const Kind* k = books.kind(e.kind);
-            if (!e.held || e.gone || !k) continue;
-            if (Books::slots(job.spec, e.kind, e.zone, e.spot, k->size) > 0 &&
-                Books::slots(other, e.kind, e.zone, e.spot, k->size) == 0) {
-                return true;
-            }
+        // Only from those who have somewhere else to go; for those with a tighter aim, or who have
+        // not.
+        if (!elsewhere(job.spec, other)) continue;
+        if (lane_aim_[i] < own || !elsewhere(other, job.spec)) return true;
+    }
+    return false;
+}
+
+bool Placer::elsewhere(const JobSpec& one, const JobSpec& other) const {
+    const Books& books = term_.books;
+    for (const Machine& e : books.machines) {
+        const Kind* k = books.kind(e.kind);
+        if (!e.held || e.gone || !k) continue;
+        if (Books::slots(one, e.kind, e.zone, e.spot, k->size) > 0 &&
+            Books::slots(other, e.kind, e.zone, e.spot, k->size) == 0) {
+            return true;
         }
     }
     return false;
@@ -311,6 +318,8 @@
                 bool beyond = guaranteed && team && v.spec.team != s.team &&
                               !books.within_guarantee(v.spec.team, Amounts{});
                 if (v.spec.priority >= s.priority && !beyond) continue;
+                // Work that can run nowhere else would only lose what it was doing.
+                if (!elsewhere(v.spec, s)) continue;
                 double ran = t.running_since < 0 ? 0 : static_cast<double>(now - t.running_since) / 1000.0;
                 double cost = 1 + (v.spec.checkpoint_s > 0 ? v.spec.save_s : ran);
                 // One that is nearly over frees its room by itself.
--- a/src/coordination/placer.hpp
+++ b/src/coordination/placer.hpp
@@ -29,6 +29,8 @@
     double regret(const Job& job, const Machine& m, const Kind& kind) const;
     void count_slots(Ms now, const std::vector<Id>& usable);
     void take_slots(const Machine& m, const Amounts& each);
+    // Can this class run on a kind of machine held that the other can't use?
+    bool elsewhere(const JobSpec& one, const JobSpec& other) const;
     // Must the machine be left to classes with a tighter aim on starting?
     bool kept(const Job& job, const Machine& m, const Kind& kind) const;
     void preempt(Ms now, const std::vector<Id>& usable);
--- a/src/coordination/policy.hpp
+++ b/src/coordination/policy.hpp
@@ -21,8 +21,8 @@
     double unplaceable_after_s = 0.5;
     double spot_prefer = 1.0;  // 0: never rent spot
     double idle_cost = 0.05;
-    double dear_ratio = 2.0;
-    double dear_patience_s = 25;
+    double dear_ratio = 5.0;
+    double dear_patience_s = 10;
     double boot_give_up = 3.5;
     double boot_late = 1.7;
     double no_capacity_backoff_s = 15;
--- a/src/coordination/scaler.cpp
+++ b/src/coordination/scaler.cpp
@@ -177,14 +177,14 @@
     return n;
 }
 
-bool Scaler::rent(Ms now, const Option& o, std::uint32_t n, CloudDialogue& cloud) {
+std::uint32_t Scaler::rent(Ms now, const Option& o, std::uint32_t n, CloudDialogue& cloud) {
     const Policy& policy = term_.core.policy;
     std::uint32_t held = held_of(o.kind, cloud);
-    if (held >= policy.cap_per_kind) return false;
+    if (held >= policy.cap_per_kind) return 0;
     n = std::min(n, policy.cap_per_kind - held);
     bool permanent = !cloud.first_rented() && policy.permanent_first > 0;
     if (permanent) n = std::min(n, policy.permanent_first);
-    return n > 0 && cloud.rent(now, o.kind, o.zone, o.spot, n, permanent);
+    return n > 0 && cloud.rent(now, o.kind, o.zone, o.spot, n, permanent) ? n : 0;
 }
 
 void Scaler::rent_by_rule(Ms now, CloudDialogue& cloud) {
@@ -199,7 +199,8 @@
         if (patient(o, nullptr, now)) continue;
         double each = term_.books.kind(o.kind)->size.get(r);
         auto n = static_cast<std::uint32_t>(std::clamp(std::ceil(need / each), 1.0, 50.0));
-        if (!rent(now, o, n, cloud)) continue;
+        n = rent(now, o, n, cloud);
+        if (n == 0) continue;
         spdlog::info("measure {:.2f} of {} above {:.2f}", measure_.value, resource_name(r),
                      policy.mark_high);
         need -= each * n;
@@ -234,7 +235,8 @@
                 }
                 if (per == 0) continue;
                 std::uint32_t n = (d.count + per - 1) / per;
-                if (!rent(now, o, n, cloud)) continue;
+                n = rent(now, o, n, cloud);
+                if (n == 0) continue;
                 spdlog::info("{} has {} tasks that fit nowhere", j.spec.id, d.count);
                 for (std::uint32_t i = 0; i < n; ++i) rooms_.push_back(room);
                 out_at_ = now;
--- a/src/coordination/scaler.hpp
+++ b/src/coordination/scaler.hpp
@@ -55,7 +55,8 @@
     void give_back(Ms now, CloudDialogue& cloud);
     bool patient(const Option& o, const JobSpec* for_job, Ms now) const;
     std::uint32_t held_of(Id kind, const CloudDialogue& cloud) const;
-    bool rent(Ms now, const Option& o, std::uint32_t n, CloudDialogue& cloud);
+    // How many were asked for.
+    std::uint32_t rent(Ms now, const Option& o, std::uint32_t n, CloudDialogue& cloud);
 
     Term& term_;
     Ms next_ = 0;
