--- a/src/coordination/placer.cpp
+++ b/src/coordination/placer.cpp
@@ -36,6 +36,19 @@
     return order;
 }
 
+int Placer::fetching(const Machine& m) const {
+    const Books& books = term_.books;
+    std::set<Id> images;
+    for (TaskRef ref : m.tasks) {
+        const Task& t = term_.books.task(ref);
+        if (t.state == TaskState::pulling || t.phase == Phase::placed || t.phase == Phase::sent) {
+            Id image = books.jobs[ref.job].spec.image;
+            if (image != kNone) images.insert(image);
+        }
+    }
+    return static_cast<int>(images.size());
+}
+
 double Placer::regret(const Job& job, const Machine& m, const Kind& kind) const {
     const Books& books = term_.books;
     double sum = 0;
@@ -126,8 +139,8 @@
 Id Placer::choose(const Job& job, const std::vector<Id>& usable, Id zone_only) const {
     const Books& books = term_.books;
     const JobSpec& s = job.spec;
-    using Score = std::tuple<int, double, int, int, double, Id>;
-    Score best{9, 9, 9, 9, 0, kNone};
+    using Score = std::tuple<int, double, int, double, Id>;
+    Score best{9, 0, 0, 0, kNone};
     for (Id id : usable) {
         const Machine& m = books.machines[id];
         if (!s.allows_kind(m.kind) || (s.zone != kNone && s.zone != m.zone)) continue;
@@ -142,15 +155,20 @@
         if (!kind || !s.each.fits_in(kind->size - m.used)) continue;
         if (m.kept_for != kNone && term_.books.find_job(s.id) != m.kept_for) continue;
         if (kept(job, m, *kind)) continue;
-        // The order in which machines are tried: where this job hasn't failed, where other classes
-        // lose least room, where the image is, spot first for those who may, then the fullest.
-        bool image = s.image == kNone || m.images.count(s.image) != 0;
+        // The order in which machines are tried: where this job hasn't failed, where the task starts
+        // soonest and other classes lose least room, spot first for those who may, then the fullest.
+        double fetch = 0;
+        if (s.image != kNone && !m.images.count(s.image) && kind->fetch_gb_per_s > 0) {
+            // Images fetched at the same time share the rate.
+            fetch = s.image_gb / kind->fetch_gb_per_s * (1 + fetching(m));
+        }
+        double wait = fetch + term_.core.policy.regret_s * regret(job, m, *kind);
         double left = kind->size.cpus > 0 ? (kind->size.cpus - m.used.cpus) / kind->size.cpus : 0;
-        Score score{job.failed_on.count(id) || !m.error_jobs.empty() ? 1 : 0,
-                    std::round(regret(job, m, *kind) * 8) / 8, image ? 0 : 1, s.spot && !m.spot ? 1 : 0, left, id};
+        Score score{job.failed_on.count(id) || !m.error_jobs.empty() ? 1 : 0, std::round(wait / 2),
+                    s.spot && !m.spot ? 1 : 0, left, id};
         if (score < best) best = score;
     }
-    return std::get<5>(best);
+    return std::get<4>(best);
 }
 
 std::uint32_t Placer::place_batch(Ms now, Id id, const std::vector<Id>& usable) {
--- a/src/coordination/placer.hpp
+++ b/src/coordination/placer.hpp
@@ -27,6 +27,7 @@
     // What placing a task there takes away from classes that could use the room: slots lost, as a
     // share of all the slots such a class has left.
     double regret(const Job& job, const Machine& m, const Kind& kind) const;
+    int fetching(const Machine& m) const;  // images on their way to it
     void count_slots(Ms now, const std::vector<Id>& usable);
     void take_slots(const Machine& m, const Amounts& each);
     // Can this class run on a kind of machine held that the other can't use?
--- a/src/coordination/policy.hpp
+++ b/src/coordination/policy.hpp
@@ -21,8 +21,6 @@
     double unplaceable_after_s = 0.5;
     double spot_prefer = 1.0;  // 0: never rent spot
     double idle_cost = 0.05;
-    double dear_ratio = 5.0;
-    double dear_patience_s = 10;
     double boot_give_up = 3.5;
     double boot_late = 1.7;
     double no_capacity_backoff_s = 15;
@@ -34,6 +32,7 @@
     bool preempt = true;
     double preempt_after_s = 2;
     std::uint32_t keep_slots = 2;
+    double regret_s = 20;
     std::string place_order = "aim";  // aim | age
 };
 
--- a/src/coordination/scaler.cpp
+++ b/src/coordination/scaler.cpp
@@ -119,7 +119,6 @@
     const Books& books = term_.books;
     const Policy& policy = term_.core.policy;
     std::vector<Option> list;
-    double cheapest = 1e18;
     for (const Kind& k : books.kinds()) {
         if (resource >= 0 && k.size.get(resource) <= 0) continue;
         for (Id zone : k.zones) {
@@ -133,15 +132,14 @@
                                    return suits(books.jobs[d.job].spec) > 0;
                                });
                 if (!any) continue;
-                Option o{k.id, zone, spot, spot ? k.spot_price : k.price, k.size.cpus, 0, false};
+                Option o{k.id, zone, spot, spot ? k.spot_price : k.price, k.size.cpus, 0};
                 // Price for a task of this job on such a machine, or for the driving resource.
                 o.cost = o.price / (s ? suits(*s) : k.size.get(resource));
-                cheapest = std::min(cheapest, o.cost);
+                if (o.cost <= 0) continue;
                 if (cloud.can_rent(k.id, zone, spot, now)) list.push_back(o);
             }
         }
     }
-    for (Option& o : list) o.dear = o.cost > policy.dear_ratio * cheapest;
     // Zones take turns: a wave or a cut takes one zone at a time.
     std::map<std::pair<Id, Id>, int> held;
     for (const Machine& m : books.machines) {
@@ -155,21 +153,6 @@
     return list;
 }
 
-// Work that can wait a little is not worth a machine at several times the price.
-bool Scaler::patient(const Option& o, const JobSpec* s, Ms now) const {
-    if (!o.dear) return false;
-    const Books& books = term_.books;
-    const Kind* k = books.kind(o.kind);
-    Ms since = now;
-    for (const Demand& d : left_) {
-        const Job& j = books.jobs[d.job];
-        if (s && j.spec.id != s->id) continue;
-        if (Books::slots(j.spec, o.kind, o.zone, o.spot, k->size) == 0) continue;
-        since = std::min(since, j.waiting_since);
-    }
-    return now < since + to_ms(term_.core.policy.dear_patience_s);
-}
-
 std::uint32_t Scaler::held_of(Id kind, const CloudDialogue& cloud) const {
     std::uint32_t n = 0;
     for (const Machine& m : term_.books.machines) n += m.held && !m.gone && m.kind == kind;
@@ -196,7 +179,6 @@
                   measure_.capacity.get(r);
     for (const Option& o : options(nullptr, r, now, cloud)) {
         if (need <= 1e-6) break;
-        if (patient(o, nullptr, now)) continue;
         double each = term_.books.kind(o.kind)->size.get(r);
         auto n = static_cast<std::uint32_t>(std::clamp(std::ceil(need / each), 1.0, 50.0));
         n = rent(now, o, n, cloud);
@@ -225,7 +207,6 @@
             const Job& j = books.jobs[d.job];
             if (now < j.waiting_since + to_ms(policy.unplaceable_after_s)) continue;
             for (const Option& o : options(&j.spec, -1, now, cloud)) {
-                if (patient(o, &j.spec, now)) continue;
                 Room room{books.kind(o.kind)->size, o.kind, o.zone, o.spot, kNone, {}};
                 std::uint32_t per = 0;
                 Room probe = room;
--- a/src/coordination/scaler.hpp
+++ b/src/coordination/scaler.hpp
@@ -42,7 +42,6 @@
         double price = 0;
         double cores = 0;
         double cost = 0;    // price for what is short
-        bool dear = false;  // far above the cheapest option there is, had or not
     };
 
     void survey(Ms now, const WorkerDialogue& workers, const CloudDialogue& cloud);
@@ -53,7 +52,6 @@
     void rent_by_rule(Ms now, CloudDialogue& cloud);
     void rent_for_unplaceable(Ms now, CloudDialogue& cloud);
     void give_back(Ms now, CloudDialogue& cloud);
-    bool patient(const Option& o, const JobSpec* for_job, Ms now) const;
     std::uint32_t held_of(Id kind, const CloudDialogue& cloud) const;
     // How many were asked for.
     std::uint32_t rent(Ms now, const Option& o, std::uint32_t n, CloudDialogue& cloud);
