--- a/src/coordination/scaler.cpp
+++ b/src/coordination/scaler.cpp
@@ -268,6 +268,24 @@
     cloud.give_back(now, best, measure_.value < policy.mark_low ? "below the low mark" : "idle");
 }
 
+// Every ten seconds, for those who ask for the debug log: what stands where.
+void Scaler::tell(Ms now, const WorkerDialogue& workers) {
+    if (now < told_at_ || !spdlog::should_log(spdlog::level::debug)) return;
+    told_at_ = now + 10000;
+    const Books& books = term_.books;
+    std::string line;
+    for (const Machine& m : books.machines) {
+        if (m.gone) continue;
+        line += fmt::format(" {}:{}{}:{}t/{}c/{}g/{}r", m.name,
+                            m.kind == kNone ? "?" : books.names.kinds.name(m.kind),
+                            workers.usable(m, now) ? "" : "(not up)", m.tasks.size(), m.used.cpus,
+                            m.used.gpus, m.used.ram);
+    }
+    spdlog::debug("measure {:.2f} of {}, {} jobs wait, {} with tasks that fit nowhere;{}",
+                  std::min(measure_.value, 999.0), resource_name(measure_.driving), waiting_.size(),
+                  left_.size(), line);
+}
+
 void Scaler::tick(Ms now, const WorkerDialogue& workers, CloudDialogue& cloud) {
     if (now < next_ && !term_.rent_now) return;
     next_ = now + kTick;
@@ -279,6 +297,7 @@
     if (out_at_ < 0) out_at_ = term_.elected_at;
     std::vector<Room> trial = rooms_;
     left_ = unplaceable(trial);
+    tell(now, workers);
     if (at_once || now >= out_at_ + to_ms(term_.core.policy.out_interval_s)) {
         rent_by_rule(now, cloud);
         rent_for_unplaceable(now, cloud);
--- a/src/coordination/scaler.hpp
+++ b/src/coordination/scaler.hpp
@@ -44,6 +44,7 @@
         double cost = 0;    // price for what is short
     };
 
+    void tell(Ms now, const WorkerDialogue& workers);
     void survey(Ms now, const WorkerDialogue& workers, const CloudDialogue& cloud);
     std::vector<Demand> unplaceable(std::vector<Room>& rooms) const;
     static bool fits(const JobSpec& s, const Room& r);
@@ -61,6 +62,7 @@
     Ms next_ = 0;
     Ms out_at_ = -1;
     Ms in_at_ = 0;
+    Ms told_at_ = 0;
     Measure measure_;
     std::vector<Room> rooms_;
     std::vector<Demand> waiting_;
