--- a/tests/leader_test.cpp
+++ b/tests/leader_test.cpp
@@ -283,7 +283,7 @@
     w.pass(5000);
     EXPECT_GE(w.hires("small"), 1);
     EXPECT_EQ(w.hires("gpu"), 0) << "the driving resource is cheaper without GPUs";
-    const Hire& h = decode_registry(*w.written.front().writes[0].value, w.core->names)->hires.at(0);
+    const Hire h = decode_registry(*w.written.front().writes[0].value, w.core->names)->hires.at(0);
     EXPECT_TRUE(h.permanent) << "the first rented machine is permanent, and stands in the registry first";
 }
 
