--- a/src/coordination/cloud_dialogue.cpp
+++ b/src/coordination/cloud_dialogue.cpp
@@ -101,7 +101,8 @@
     });
 }
 
-bool CloudDialogue::rent(Ms now, Id kind, Id zone, bool spot, std::uint32_t count, bool permanent) {
+bool CloudDialogue::rent(Ms now, Id kind, Id zone, bool spot, std::uint32_t count, bool permanent,
+                         const std::string& why) {
     if (!can_rent(kind, zone, spot, now) || count == 0) return false;
     Hire h;
     // Unique for ever: the token is, and the counter within it.
@@ -122,9 +123,13 @@
     ++registry_.next_hire;
     changed();
     after_write([this, name = h.name](Ms at) { ask(at, name); });
-    spdlog::info("rent {}: {} {}{} in {}{}", h.name, h.count, term_.core.names.kinds.name(kind),
+    // Told once: what is refused time and again goes to the debug log.
+    auto again = refused_.find({kind, zone, spot});
+    bool repeated = again != refused_.end() && again->second.times > 1;
+    spdlog::log(repeated ? spdlog::level::debug : spdlog::level::info,
+                "rent {}: {} {}{} in {}{}: {}", h.name, h.count, term_.core.names.kinds.name(kind),
                  spot ? " (spot)" : "", term_.core.names.zones.name(zone),
-                 permanent ? ", permanent" : "");
+                 permanent ? ", permanent" : "", why);
     write(now);
     return true;
 }
@@ -133,7 +138,7 @@
 // not keep the dearer one behind it from being asked for.
 void CloudDialogue::ran_out(Ms now, Id kind, Id zone, bool spot) {
     Refusal& r = refused_[{kind, zone, spot}];
-    r.times = std::min(r.times + 1, 4);
+    r.times = std::min(r.times + 1, 3);
     r.until = now + to_ms(term_.core.policy.no_capacity_backoff_s) * (Ms{1} << (r.times - 1));
     term_.rent_now = true;
 }
@@ -188,7 +193,9 @@
                 write(at);
             } else if (r.status == 503 && r.more) {
                 // No capacity: surely not executed. (`more` is set for that answer alone.)
-                spdlog::info("hire {}: no capacity", name);
+                auto again = refused_.find({hire->kind, hire->zone, hire->spot});
+                spdlog::log(again != refused_.end() ? spdlog::level::debug : spdlog::level::info,
+                            "hire {}: no capacity", name);
                 ran_out(at, hire->kind, hire->zone, hire->spot);
                 registry_.hires.erase(hire);
                 changed();
@@ -256,6 +263,11 @@
     Books& books = term_.books;
     std::string name = books.machines[machine].name;
     bool held = books.machines[machine].held;
+    // Its place is free again: the kind is asked for at once.
+    std::erase_if(refused_, [kind = books.machines[machine].kind](const auto& entry) {
+        return std::get<0>(entry.first) == kind;
+    });
+    term_.rent_now = true;
     fates_.machine_emptied(machine, now, why);
     books.forget_machine(machine);
     strays_.erase(name);
--- a/src/coordination/cloud_dialogue.hpp
+++ b/src/coordination/cloud_dialogue.hpp
@@ -14,7 +14,8 @@
     void tick(Ms now);
 
     // Asks for machines; false when this can't be asked for now.
-    bool rent(Ms now, Id kind, Id zone, bool spot, std::uint32_t count, bool permanent);
+    bool rent(Ms now, Id kind, Id zone, bool spot, std::uint32_t count, bool permanent,
+              const std::string& why);
     void give_back(Ms now, Id machine, const char* why);
 
     bool can_rent(Id kind, Id zone, bool spot, Ms now) const;
--- a/src/coordination/policy.hpp
+++ b/src/coordination/policy.hpp
@@ -23,12 +23,12 @@
     double idle_cost = 0.05;
     double boot_give_up = 3.5;
     double boot_late = 1.7;
-    double no_capacity_backoff_s = 15;
-    double lost_return_s = 30;
+    double no_capacity_backoff_s = 4;
+    double lost_return_s = 15;
     double round_budget_ms = 4;
     double lease_ttl_s = 4;
     double takeover_probe_s = 5;
-    double unseen_return_s = 40;
+    double unseen_return_s = 22;
     bool preempt = true;
     double preempt_after_s = 2;
     std::uint32_t keep_slots = 2;
--- a/src/coordination/scaler.cpp
+++ b/src/coordination/scaler.cpp
@@ -160,14 +160,15 @@
     return n;
 }
 
-std::uint32_t Scaler::rent(Ms now, const Option& o, std::uint32_t n, CloudDialogue& cloud) {
+std::uint32_t Scaler::rent(Ms now, const Option& o, std::uint32_t n, const std::string& why,
+                           CloudDialogue& cloud) {
     const Policy& policy = term_.core.policy;
     std::uint32_t held = held_of(o.kind, cloud);
     if (held >= policy.cap_per_kind) return 0;
     n = std::min(n, policy.cap_per_kind - held);
     bool permanent = !cloud.first_rented() && policy.permanent_first > 0;
     if (permanent) n = std::min(n, policy.permanent_first);
-    return n > 0 && cloud.rent(now, o.kind, o.zone, o.spot, n, permanent) ? n : 0;
+    return n > 0 && cloud.rent(now, o.kind, o.zone, o.spot, n, permanent, why) ? n : 0;
 }
 
 void Scaler::rent_by_rule(Ms now, CloudDialogue& cloud) {
@@ -181,10 +182,11 @@
         if (need <= 1e-6) break;
         double each = term_.books.kind(o.kind)->size.get(r);
         auto n = static_cast<std::uint32_t>(std::clamp(std::ceil(need / each), 1.0, 50.0));
-        n = rent(now, o, n, cloud);
+        n = rent(now, o, n,
+                 fmt::format("measure {:.2f} of {} above {:.2f}", std::min(measure_.value, 999.0),
+                             resource_name(r), policy.mark_high),
+                 cloud);
         if (n == 0) continue;
-        spdlog::info("measure {:.2f} of {} above {:.2f}", measure_.value, resource_name(r),
-                     policy.mark_high);
         need -= each * n;
         for (std::uint32_t i = 0; i < n; ++i) {
             rooms_.push_back({term_.books.kind(o.kind)->size, o.kind, o.zone, o.spot, kNone, {}});
@@ -216,9 +218,9 @@
                 }
                 if (per == 0) continue;
                 std::uint32_t n = (d.count + per - 1) / per;
-                n = rent(now, o, n, cloud);
+                n = rent(now, o, n, fmt::format("{} has {} tasks that fit nowhere", j.spec.id, d.count),
+                         cloud);
                 if (n == 0) continue;
-                spdlog::info("{} has {} tasks that fit nowhere", j.spec.id, d.count);
                 for (std::uint32_t i = 0; i < n; ++i) rooms_.push_back(room);
                 out_at_ = now;
                 rented = true;
--- a/src/coordination/scaler.hpp
+++ b/src/coordination/scaler.hpp
@@ -54,7 +54,8 @@
     void give_back(Ms now, CloudDialogue& cloud);
     std::uint32_t held_of(Id kind, const CloudDialogue& cloud) const;
     // How many were asked for.
-    std::uint32_t rent(Ms now, const Option& o, std::uint32_t n, CloudDialogue& cloud);
+    std::uint32_t rent(Ms now, const Option& o, std::uint32_t n, const std::string& why,
+                       CloudDialogue& cloud);
 
     Term& term_;
     Ms next_ = 0;
--- /dev/null
+++ b/tests/leader_test.cpp
@@ -0,0 +1,400 @@
+// Focused tests of what a leader does: placing, scaling, fencing, gangs, the view and the pacing of
+// writes, each through the core's own doors.
+#include <gtest/gtest.h>
+#include <spdlog/spdlog.h>
+
+#include "coordination/leader.hpp"
+#include "coordination/node.hpp"
+
+namespace walkford {
+namespace {
+
+struct Bench {
+    Platform platform;
+    Policy policy;
+    std::unique_ptr<Core> core;
+    std::unique_ptr<Leader> leader;
+    Ms now = 1000;
+    std::uint64_t born = 10;
+    std::uint64_t tick = 1;
+    std::vector<CloudCall> asked;
+    std::vector<Txn> written;
+    std::map<RequestId, BeatAnswer> answers;
+    std::uint64_t revision = 100;
+
+    explicit Bench(std::function<void(Bench&)> change = {}) {
+        spdlog::set_level(spdlog::level::off);
+        platform.node_name = "n0";
+        platform.zones = {"a", "b"};
+        platform.teams = {{"red", {20, 0, 0}, {100, 0, 0}}, {"blue", {20, 0, 0}, {100, 0, 0}}};
+        platform.report_s = 1;
+        platform.state_write_rps = 1000;
+        platform.cloud_rps = 100;
+        if (change) change(*this);
+        core = std::make_unique<Core>(platform, policy, 1);
+        Id small = core->names.kinds.intern("small"), gpu = core->names.kinds.intern("gpu");
+        core->kinds = {{small, {8, 0, 32}, 50, 1, 1, 0.2, 10, {0, 1}},
+                       {gpu, {32, 4, 128}, 50, 1, 9, 2, 10, {0, 1}}};
+    }
+    // A registry with these machines, all up.
+    void lead(const std::vector<std::pair<std::string, int>>& machines) {
+        Registry r;
+        r.first_rented = !machines.empty();
+        for (const auto& [name, kind] : machines) {
+            r.machines.push_back({name, static_cast<Id>(kind), 0, false, false, false});
+        }
+        core->view.apply({keys::kRegistry, encode_registry(r, core->names), 5});
+        leader = std::make_unique<Leader>(*core, 50, now);
+        leader->term().depose = [](Ms, const char*) {};
+        leader->term().refresh = [](Ms) {};
+        leader->set_rights(true, now + 1000000);
+        for (const auto& [name, kind] : machines) beat(name);
+    }
+    std::vector<Order> beat(const std::string& name, std::vector<ReportedTask> tasks = {},
+                            std::uint64_t token = 50, std::uint64_t session = 1) {
+        BeatRequest q;
+        q.request = ++tick;
+        q.report.machine = name;
+        q.report.kind = "small";
+        q.report.zone = "a";
+        q.report.session = session;
+        q.report.tick = tick;
+        q.report.token = token;
+        q.report.tasks = std::move(tasks);
+        leader->beat(now, q);
+        drain();
+        return answers[q.request].orders;
+    }
+    JobSpec spec(const std::string& id, double cpus, std::uint32_t tasks = 1, bool gang = false) {
+        JobSpec s;
+        s.id = id;
+        s.team = 0;
+        s.tasks = tasks;
+        s.gang = gang;
+        s.each = {cpus, 0, 1};
+        s.spot = true;
+        return s;
+    }
+    void job(const JobSpec& s) {
+        core->view.apply({keys::job(s.id), encode_job({s, false}, core->names), born++});
+        leader->job_changed(now, s.id);
+    }
+    // All writes succeed at once unless told otherwise.
+    bool answer_writes = true;
+    void drain() {
+        for (int round = 0; round < 20; ++round) {
+            core->state.pump(now, core->out);
+            core->cloud.pump(now, core->out);
+            Outputs out = std::move(core->out);
+            core->out.clear();
+            if (out.empty()) return;
+            for (Output& o : out) {
+                if (auto* b = std::get_if<BeatAnswer>(&o)) answers[b->request] = *b;
+                if (auto* c = std::get_if<CloudCall>(&o)) asked.push_back(*c);
+                if (auto* s = std::get_if<StateCall>(&o)) {
+                    if (s->verb != StateVerb::txn) continue;
+                    written.push_back(s->txn);
+                    if (!answer_writes) continue;
+                    StateReply r;
+                    r.call = s->call;
+                    r.status = 200;
+                    r.revision = ++revision;
+                    core->state.reply(now, r);
+                }
+            }
+        }
+    }
+    void pass(Ms span) {
+        for (Ms end = now + span; now < end;) {
+            now += 50;
+            leader->tick(now);
+            drain();
+        }
+    }
+    const Books& books() { return leader->term().books; }
+    std::string where(const std::string& id, std::uint32_t task = 0) {
+        Books& b = leader->term().books;
+        Id m = b.task({b.find_job(id), task}).machine;
+        return m == kNone ? "" : b.machines[m].name;
+    }
+    int hires(const std::string& kind) {
+        int n = 0;
+        for (const CloudCall& c : asked) n += c.verb == CloudVerb::hire && c.kind == kind;
+        return n;
+    }
+};
+
+TEST(Fencing, RunIsSentOnlyOnceThePlacementIsDurable) {
+    Bench w;
+    w.lead({{"host-1", 0}});
+    w.answer_writes = false;
+    w.job(w.spec("j-1", 4));
+    w.pass(600);
+    EXPECT_EQ(w.where("j-1"), "host-1");
+    EXPECT_TRUE(w.beat("host-1").empty());
+    ASSERT_FALSE(w.written.empty());
+    EXPECT_EQ(w.written.back().conditions[0].key, keys::kLeader);
+    EXPECT_EQ(w.written.back().conditions[0].stamp, 50U);
+}
+
+TEST(Fencing, DurablePlacementIsRunAndSentAgainOnlyAfterALaterBeatLacksIt) {
+    Bench w;
+    w.lead({{"host-1", 0}});
+    w.job(w.spec("j-1", 4));
+    w.pass(600);
+    auto orders = w.beat("host-1");
+    ASSERT_EQ(orders.size(), 1U);
+    EXPECT_EQ(orders[0].verb, OrderVerb::run);
+    EXPECT_EQ(orders[0].attempt, 1U);
+    // The answer was lost: the next beat still lacks it.
+    orders = w.beat("host-1");
+    ASSERT_EQ(orders.size(), 1U);
+    EXPECT_EQ(orders[0].attempt, 1U);
+    orders = w.beat("host-1", {{"j-1", 0, 1, TaskState::running, "", false}});
+    EXPECT_TRUE(orders.empty());
+}
+
+TEST(Fencing, AnOldReportGetsNoOrdersAndChangesNothing) {
+    Bench w;
+    w.lead({{"host-1", 0}});
+    w.job(w.spec("j-1", 4));
+    w.pass(600);
+    std::uint64_t saved = w.tick;
+    w.tick = 0;  // older than what was heard
+    EXPECT_TRUE(w.beat("host-1").empty());
+    w.tick = saved;
+    EXPECT_EQ(w.beat("host-1").size(), 1U);
+}
+
+TEST(Fencing, ATaskOfAnEarlierLeaderStaysCountedUntilItsMachineAnswersUnderOurToken) {
+    Bench w;
+    JobSpec s = w.spec("j-1", 4);
+    w.core->view.apply({keys::job("j-1"), encode_job({s, false}, w.core->names), 8});
+    w.core->view.apply({keys::chunk("j-1", 0), encode_chunk({{3, false, "host-1"}}), 9});
+    w.lead({});
+    // The registry lists the machine.
+    w.leader.reset();
+    Registry r;
+    r.machines.push_back({"host-1", 0, 0, false, false, false});
+    w.core->view.apply({keys::kRegistry, encode_registry(r, w.core->names), 20});
+    w.leader = std::make_unique<Leader>(*w.core, 60, w.now);
+    w.leader->term().depose = [](Ms, const char*) {};
+    w.leader->term().refresh = [](Ms) {};
+    w.leader->set_rights(true, w.now + 1000000);
+    EXPECT_EQ(w.where("j-1"), "host-1");
+    w.beat("host-1", {}, 50);  // it has seen the older token only: absence proves nothing
+    EXPECT_EQ(w.where("j-1"), "host-1");
+    w.pass(12000);  // longer than the lease, but an older leader may still answer it
+    EXPECT_EQ(w.where("j-1"), "host-1");
+}
+
+TEST(Fencing, DoneIsDurableBeforeTheWorkerForgetsIt) {
+    Bench w;
+    w.lead({{"host-1", 0}});
+    w.job(w.spec("j-1", 4));
+    w.pass(600);
+    w.beat("host-1");
+    w.answer_writes = false;
+    auto orders = w.beat("host-1", {{"j-1", 0, 1, TaskState::exited, "done", false}});
+    w.pass(300);
+    orders = w.beat("host-1", {{"j-1", 0, 1, TaskState::exited, "done", false}});
+    for (const Order& o : orders) EXPECT_NE(o.verb, OrderVerb::clear);
+}
+
+TEST(Placing, ByPriorityThenAge) {
+    Bench w;
+    w.lead({{"host-1", 0}});
+    JobSpec old = w.spec("j-1", 8), young = w.spec("j-2", 8), urgent = w.spec("j-3", 8);
+    urgent.priority = Priority::high;
+    w.job(old);
+    w.job(young);
+    w.job(urgent);
+    w.pass(500);
+    EXPECT_EQ(w.where("j-3"), "host-1");
+    EXPECT_EQ(w.where("j-1"), "");
+}
+
+TEST(Placing, AGangIsPlacedWholeOrNotAtAll) {
+    Bench w;
+    w.lead({{"host-1", 0}, {"host-2", 0}});
+    w.job(w.spec("j-1", 5, 3, true));
+    w.pass(1000);
+    for (std::uint32_t i = 0; i < 3; ++i) EXPECT_EQ(w.where("j-1", i), "");
+    w.job(w.spec("j-2", 5, 2, true));
+    w.pass(1000);
+    EXPECT_NE(w.where("j-2", 0), "");
+    EXPECT_NE(w.where("j-2", 1), "");
+}
+
+TEST(Placing, ALargeTaskIsNotStarvedAtItsTeamsLimitBySmallOnes) {
+    // The team may use 10 cores. What comes first waits for the limit; small tasks that come later
+    // once took every core that freed up.
+    Bench w([](Bench& b) { b.platform.teams[0].limit = {10, 0, 0}; });
+    w.lead({{"host-1", 0}, {"host-2", 0}, {"host-3", 0}});
+    w.job(w.spec("j-1", 4, 2));
+    w.pass(500);
+    w.job(w.spec("j-2", 6));
+    w.job(w.spec("j-3", 1, 20));
+    w.pass(1500);
+    EXPECT_EQ(w.where("j-3"), "");
+    std::string first = w.where("j-1");
+    w.beat(first);
+    w.beat(first, {{"j-1", 0, 1, TaskState::exited, "done", false}});
+    w.pass(1000);
+    EXPECT_NE(w.where("j-2"), "");
+}
+
+TEST(Placing, AGpuMachineIsLeftToThoseWhoNeedIt) {
+    Bench w;
+    w.lead({{"gpu-1", 1}, {"host-1", 0}});
+    JobSpec gpu = w.spec("j-1", 10);
+    gpu.each.gpus = 1;
+    gpu.lane = w.core->names.lanes.intern("train");
+    w.job(gpu);
+    JobSpec plain = w.spec("j-2", 4);
+    plain.lane = w.core->names.lanes.intern("batch");
+    w.job(plain);
+    w.pass(600);
+    EXPECT_EQ(w.where("j-1"), "gpu-1");
+    EXPECT_EQ(w.where("j-2"), "host-1");
+}
+
+TEST(Sick, AMachineThatFailsTwoJobsGoesAndAJobThatFailsTwiceIsBlamedItself) {
+    Bench w;
+    w.lead({{"host-1", 0}});
+    w.job(w.spec("j-1", 2));
+    w.job(w.spec("j-2", 2));
+    w.pass(600);
+    w.beat("host-1");
+    w.beat("host-1", {{"j-1", 0, 1, TaskState::exited, "error", false},
+                      {"j-2", 0, 1, TaskState::exited, "error", false}});
+    w.pass(3000);
+    bool returned = false;
+    for (const CloudCall& c : w.asked) returned |= c.verb == CloudVerb::give_back;
+    EXPECT_TRUE(returned);
+}
+
+TEST(Scaling, RentsAboveTheHighMarkOnceAnIntervalHasPassed) {
+    Bench w;
+    w.lead({});
+    w.job(w.spec("j-1", 4));
+    w.pass(1000);
+    EXPECT_TRUE(w.hires("small") == 0 && w.hires("gpu") == 0) << "a new leader waits one interval";
+    w.pass(5000);
+    EXPECT_GE(w.hires("small"), 1);
+    EXPECT_EQ(w.hires("gpu"), 0) << "the driving resource is cheaper without GPUs";
+    const Hire& h = decode_registry(*w.written.front().writes[0].value, w.core->names)->hires.at(0);
+    EXPECT_TRUE(h.permanent) << "the first rented machine is permanent, and stands in the registry first";
+}
+
+TEST(Scaling, AKindThatIsRefusedMakesRoomForTheNextAtOnce) {
+    Bench w;
+    w.lead({});
+    w.job(w.spec("j-1", 4));
+    w.pass(5000);
+    std::set<std::string> tried;
+    for (int round = 0; round < 40; ++round) {
+        std::vector<CloudCall> calls = std::move(w.asked);
+        w.asked.clear();
+        for (const CloudCall& c : calls) {
+            if (c.verb != CloudVerb::hire) continue;
+            tried.insert(c.kind + c.zone + (c.spot ? "s" : "o"));
+            CloudReply r;
+            r.call = c.call;
+            r.status = 503;
+            r.more = true;
+            w.core->cloud.reply(w.now, r);
+        }
+        w.pass(50);
+    }
+    EXPECT_EQ(tried.size(), 8U) << "two kinds, two zones, spot and ordinary, within two seconds";
+}
+
+TEST(Scaling, AnUnansweredHireIsRepeatedUnderItsName) {
+    Bench w;
+    w.lead({});
+    w.job(w.spec("j-1", 4));
+    w.pass(5000);
+    ASSERT_GE(w.hires("small"), 1);
+    CloudCall first;
+    for (const CloudCall& c : w.asked) {
+        if (c.verb == CloudVerb::hire) first = c;
+    }
+    w.asked.clear();
+    CloudReply silence;
+    silence.call = first.call;
+    w.core->cloud.reply(w.now, silence);
+    w.pass(3000);
+    bool repeated = false;
+    for (const CloudCall& c : w.asked) repeated |= c.verb == CloudVerb::hire && c.hire == first.hire;
+    EXPECT_TRUE(repeated);
+}
+
+TEST(ViewTest, AnOldChangeDoesNotUndoANewerDrop) {
+    Names names;
+    names.teams.intern("red");
+    View v(names);
+    JobSpec s;
+    s.id = "j-1";
+    s.team = 0;
+    Json job = encode_job({s, false}, names);
+    v.apply({keys::job("j-1"), job, 5});
+    v.apply({keys::job("j-1"), std::nullopt, 9});
+    v.apply({keys::job("j-1"), job, 5});
+    EXPECT_EQ(v.job("j-1"), nullptr);
+}
+
+TEST(NodeTest, TheVeryFirstChangeOfAnEmptyStoreIsSeen) {
+    // A reading at revision 0 once made the node follow changes from 1 on: it never saw the leader's
+    // key, the store's first change, and campaigned for ever.
+    spdlog::set_level(spdlog::level::off);
+    Platform p;
+    p.node_name = "n0";
+    p.zones = {"a"};
+    Node node(p, {}, 1);
+    Outputs out = node.step(1000, TickInput{});
+    bool watched = false;
+    for (int i = 0; i < 40; ++i) {
+        Outputs next;
+        for (Output& o : out) {
+            auto* s = std::get_if<StateCall>(&o);
+            if (!s) continue;
+            if (s->verb == StateVerb::changes) {
+                EXPECT_EQ(s->after, 0U);
+                watched = true;
+            }
+            if (s->verb != StateVerb::list) continue;
+            StateReply r;
+            r.call = s->call;
+            r.status = 200;
+            for (Output& n : node.step(1000 + i, r)) next.push_back(std::move(n));
+        }
+        out = std::move(next);
+    }
+    EXPECT_TRUE(watched);
+}
+
+TEST(Pacing, SafetyWritesGoFirstAndTheAllowanceHolds) {
+    StateDesk desk(10, 3);
+    desk.set_leading(true);
+    Outputs out;
+    desk.pump(0, out);
+    std::vector<std::string> sent;
+    auto put = [&](Urgency u, const std::string& key) {
+        Txn t;
+        t.writes = {{key, Json(1), 0}};
+        desk.txn(u, std::move(t), [](Ms, const StateReply&) {});
+    };
+    for (int i = 0; i < 60; ++i) put(Urgency::progress, "p");
+    put(Urgency::cancel, "c");
+    for (Ms t = 0; t <= 3000; t += 50) {
+        desk.pump(t, out);
+    }
+    for (Output& o : out) sent.push_back(std::get<StateCall>(o).txn.writes[0].key);
+    EXPECT_EQ(sent.at(0), "c");
+    EXPECT_LE(sent.size(), 3 * 10 + 10U);
+    EXPECT_GE(sent.size(), 15U);
+}
+
+}  // namespace
+}  // namespace walkford
--- /dev/null
+++ b/tests/loopback_test.cpp
@@ -0,0 +1,361 @@
+// The real program on loopback: three processes, through evhttp, against small stand-ins of the state
+// service, the cloud and one worker. A job is accepted, run and told done; one is cancelled; the
+// leader is killed in between.
+#include <gtest/gtest.h>
+#include <netinet/in.h>
+#include <signal.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <chrono>
+#include <fstream>
+#include <map>
+#include <thread>
+
+#include "protocol/pack.hpp"
+#include "transport/event_types.hpp"
+#include "transport/http_client.hpp"
+
+namespace walkford::transport {
+namespace {
+
+using protocol::HttpCall;
+using protocol::Method;
+using protocol::pack;
+using protocol::unpack;
+
+std::uint16_t free_port() {
+    int fd = socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in a{};
+    a.sin_family = AF_INET;
+    a.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t n = sizeof a;
+    bind(fd, reinterpret_cast<sockaddr*>(&a), sizeof a);
+    getsockname(fd, reinterpret_cast<sockaddr*>(&a), &n);
+    close(fd);
+    return ntohs(a.sin_port);
+}
+
+// One evhttp server whose handler gets method, path and body, and gives a code and a body.
+class Served {
+  public:
+    using Handler = std::function<std::pair<int, Json>(const std::string& method,
+                                                       const std::string& path, const Json& body)>;
+    Served(event_base* base, Handler handler) : handler_(std::move(handler)), http_(evhttp_new(base)) {
+        evhttp_set_allowed_methods(http_.get(), EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_DELETE);
+        evhttp_set_gencb(
+            http_.get(),
+            [](evhttp_request* r, void* self) { static_cast<Served*>(self)->take(r); }, this);
+        auto* bound = evhttp_bind_socket_with_handle(http_.get(), "127.0.0.1", 0);
+        sockaddr_in a{};
+        socklen_t n = sizeof a;
+        getsockname(evhttp_bound_socket_get_fd(bound), reinterpret_cast<sockaddr*>(&a), &n);
+        address = "127.0.0.1:" + std::to_string(ntohs(a.sin_port));
+    }
+    std::string address;
+
+  private:
+    void take(evhttp_request* r) {
+        evbuffer* in = evhttp_request_get_input_buffer(r);
+        std::size_t size = evbuffer_get_length(in);
+        std::string body(size, '\0');
+        evbuffer_remove(in, body.data(), size);
+        auto cmd = evhttp_request_get_command(r);
+        const char* m = cmd == EVHTTP_REQ_GET ? "GET" : cmd == EVHTTP_REQ_POST ? "POST" : "DELETE";
+        auto [code, answer] =
+            handler_(m, evhttp_request_get_uri(r), unpack(body).value_or(Json::object()));
+        std::string out = pack(answer);
+        evbuffer_add(evhttp_request_get_output_buffer(r), out.data(), out.size());
+        evhttp_send_reply(r, code, "-", nullptr);
+    }
+    Handler handler_;
+    HttpServerHandle http_;
+};
+
+struct State {
+    std::map<std::string, std::pair<Json, std::uint64_t>> rows;
+    std::map<std::string, std::uint64_t> leased;
+    std::map<std::uint64_t, std::pair<std::int64_t, std::chrono::steady_clock::time_point>> leases;
+    std::vector<Json> log;
+    std::uint64_t revision = 0, next = 1;
+
+    void expire() {
+        auto now = std::chrono::steady_clock::now();
+        for (auto it = leases.begin(); it != leases.end();) {
+            if (now < it->second.second) {
+                ++it;
+                continue;
+            }
+            for (auto& [key, lease] : std::map(leased)) {
+                if (lease != it->first) continue;
+                rows.erase(key);
+                leased.erase(key);
+                log.push_back(Json{{"drop", key}, {"stamp", ++revision}});
+            }
+            it = leases.erase(it);
+        }
+    }
+    static std::string arg(const std::string& path, const std::string& name) {
+        auto at = path.find(name + "=");
+        if (at == std::string::npos) return "";
+        at += name.size() + 1;
+        return path.substr(at, path.find('&', at) - at);
+    }
+    std::pair<int, Json> serve(const std::string& m, const std::string& path, const Json& b) {
+        expire();
+        if (path.rfind("/changes", 0) == 0) {
+            Json events = Json::array();
+            std::uint64_t after = std::stoull(arg(path, "after"));
+            for (const Json& e : log) {
+                if (e["stamp"].get<std::uint64_t>() > after) events.push_back(e);
+            }
+            return {200, Json{{"ledgerRev", revision}, {"events", events}}};  // (never waits)
+        }
+        if (path.rfind("/keys?", 0) == 0) {
+            Json list = Json::array();
+            for (auto& [key, row] : rows) {
+                if (key.rfind(arg(path, "prefix"), 0) == 0) {
+                    list.push_back(Json{{"k", key}, {"value", row.first}, {"stamp", row.second}});
+                }
+            }
+            return {200, Json{{"rows", list}, {"truncated", false}, {"ledgerRev", revision}}};
+        }
+        if (path.rfind("/keys/", 0) == 0) {
+            auto it = rows.find(path.substr(6));
+            if (it == rows.end()) return {404, Json{{"ledgerRev", revision}}};
+            return {200, Json{{"k", it->first}, {"value", it->second.first}, {"stamp", it->second.second}}};
+        }
+        if (path == "/leases") {
+            auto ttl = b.at("lifeMs").get<std::int64_t>();
+            leases[next] = {ttl, std::chrono::steady_clock::now() + std::chrono::milliseconds(ttl)};
+            return {200, Json{{"permit", next++}}};
+        }
+        if (path.rfind("/leases/", 0) == 0) {
+            auto it = leases.find(std::stoull(path.substr(8)));
+            if (it == leases.end()) return {404, Json::object()};
+            it->second.second = std::chrono::steady_clock::now() +
+                                std::chrono::milliseconds(m == "DELETE" ? -1 : it->second.first);
+            expire();
+            return {200, Json{{"permit", 1}}};
+        }
+        Json failed = Json::array();
+        for (const Json& c : b.at("if")) {
+            auto it = rows.find(c["k"].get<std::string>());
+            if ((it == rows.end() ? 0 : it->second.second) != c["stamp"].get<std::uint64_t>()) {
+                failed.push_back(c["k"]);
+            }
+        }
+        if (!failed.empty()) return {409, Json{{"failed", failed}, {"ledgerRev", revision}}};
+        ++revision;
+        for (const Json& w : b.at("writes")) {
+            if (w.contains("drop")) {
+                if (rows.erase(w["drop"].get<std::string>())) {
+                    log.push_back(Json{{"drop", w["drop"]}, {"stamp", revision}});
+                }
+                continue;
+            }
+            auto key = w["write"].get<std::string>();
+            rows[key] = {w["value"], revision};
+            if (w.contains("permit")) leased[key] = w["permit"].get<std::uint64_t>();
+            log.push_back(Json{{"write", key}, {"value", w["value"]}, {"stamp", revision}});
+        }
+        return {200, Json{{"ledgerRev", revision}}};
+    }
+};
+
+class Loopback : public testing::Test {
+  protected:
+    void SetUp() override {
+        state_server = std::make_unique<Served>(base.get(), [this](auto& m, auto& p, auto& b) {
+            return state.serve(m, p, b);
+        });
+        cloud_server = std::make_unique<Served>(base.get(), [](const std::string& m, const std::string& p, const Json&) {
+            if (p == "/flavors") {
+                return std::pair{200, Json{{"builds", {{{"name", "k"}, {"vcpus", 8}, {"gpus", 0}, {"ramGb", 32},
+                    {"cacheGb", 50}, {"fetchGbPerS", 1.0}, {"price", 1.0}, {"lowPrice", 0.3}, {"readyS", 5},
+                    {"yards", {"a"}}}}}}};
+            }
+            if (p.rfind("/machines?", 0) == 0) {
+                return std::pair{200, Json{{"walkers", {{{"uid", "host-1"}, {"endpoint", "127.0.0.1:1"}, {"build", "k"},
+                    {"yard", "a"}, {"loaners", false}, {"status", "running"}, {"heldS", 100.0}}}}, {"truncated", false}}};
+            }
+            (void)m;
+            return std::pair{503, Json{{"error", "no capacity"}}};
+        });
+        for (int i = 0; i < 3; ++i) {
+            serve[i] = "127.0.0.1:" + std::to_string(free_port());
+            peer[i] = "127.0.0.1:" + std::to_string(free_port());
+        }
+        for (int i = 0; i < 3; ++i) {
+            start(i);
+            clients[i] = std::make_unique<HttpClient>(base.get(), serve[i], 4, 3000, true);
+        }
+    }
+    void TearDown() override {
+        for (pid_t& p : pids) {
+            if (p > 0) {
+                kill(p, SIGKILL);
+                waitpid(p, nullptr, 0);
+            }
+        }
+    }
+    void start(int i) {
+        Json seeds = Json::array();
+        for (int k = 0; k < 3; ++k) {
+            if (k != i) seeds.push_back(Json{{"node_name", "n" + std::to_string(k)}, {"location", "a"}, {"endpoint", peer[k]}});
+        }
+        Json s{{"node_name", "n" + std::to_string(i)}, {"location", "a"}, {"serve_on", serve[i]}, {"cluster_listen", peer[i]},
+               {"seeds", seeds}, {"external", {{"cloud", cloud_server->address}, {"state", state_server->address}}},
+               {"params", {{"nodes", 3}, {"zones", {"a"}}, {"teams", {{{"name", "t"}, {"cpus", 0}, {"cpus_max", 0}}}},
+                 {"workers", {{"report_s", 0.5}, {"lease_s", 8}, {"gang_wait_s", 5}, {"gang_peer_s", 2}, {"cancel_s", 20}}},
+                 {"state", {{"rps", 1000}, {"write_rps", 500}, {"value_kb", 4}, {"txn_ops", 8}}},
+                 {"cloud", {{"rps", 20}, {"list_lag_s", 1}}}, {"machine_limits", {{"fd_limit", 300}}}}}};
+        std::string path = testing::TempDir() + "walkford-loopback-" + std::to_string(getpid()) + "-" + std::to_string(i) + ".json";
+        std::ofstream(path) << s.dump();
+        pids[i] = fork();
+        if (pids[i] == 0) {
+            setenv("LOG_LEVEL", "error", 1);
+            execl(WALKFORD_BINARY, "walkford", "--config", path.c_str(), nullptr);
+            _exit(127);
+        }
+    }
+    // Runs the loop until the condition holds; a generous limit, so that a busy machine can't fail it.
+    bool until(const std::function<bool()>& holds) {
+        auto end = std::chrono::steady_clock::now() + std::chrono::seconds(60);
+        while (!holds()) {
+            if (std::chrono::steady_clock::now() > end) return false;
+            event_base_loop(base.get(), EVLOOP_NONBLOCK);
+            std::this_thread::sleep_for(std::chrono::milliseconds(2));
+        }
+        return true;
+    }
+    std::pair<int, Json> ask(int node, Method m, const std::string& path, const std::string& body = "") {
+        int code = -1;
+        Json answer;
+        clients[node]->send(HttpCall{m, path, body}, [&](int c, std::string_view b) {
+            code = c;
+            answer = unpack(b).value_or(Json());
+        });
+        EXPECT_TRUE(until([&] { return code >= 0; }));
+        return {code, answer};
+    }
+    // Asks again, as users do, until the answer has this code.
+    std::pair<int, Json> insist(int node, Method m, const std::string& path, const std::string& body, int a, int b) {
+        std::pair<int, Json> r;
+        for (int i = 0; i < 300; ++i) {
+            r = ask(node, m, path, body);
+            if (r.first == a || r.first == b) return r;
+            pause(100);
+        }
+        return r;
+    }
+    void pause(int ms) {
+        auto end = std::chrono::steady_clock::now() + std::chrono::milliseconds(ms);
+        until([&] { return std::chrono::steady_clock::now() > end; });
+    }
+    // One report of the worker, and what comes of it.
+    void beat() {
+        Json pieces = Json::array();
+        for (auto& [piece, t] : tasks) {
+            Json p{{"piece", piece}, {"try", t.first}, {"status", t.second}};
+            if (t.second == "exited") p["cause"] = finish ? "done" : "stopped";
+            pieces.push_back(p);
+        }
+        Json b{{"walker", "host-1"}, {"endpoint", "127.0.0.1:1"}, {"build", "k"}, {"yard", "a"}, {"loaners", false},
+               {"stint", 1}, {"tick", ++tick}, {"baton", baton}, {"warningS", nullptr}, {"pieces", pieces}};
+        auto [code, r] = ask(at, Method::post, "/agent/beat", pack(b));
+        if (code == 200 && r["baton"].get<std::uint64_t>() >= baton) {
+            baton = r["baton"].get<std::uint64_t>();
+            for (const Json& o : r["orders"]) {
+                auto piece = o["piece"].get<std::string>();
+                if (o["verb"] == "run") tasks[piece] = {o["try"].get<int>(), "running"};
+                if (o["verb"] == "halt" && tasks.count(piece)) tasks[piece].second = "exited";
+                if (o["verb"] == "clear") tasks.erase(piece);
+            }
+        } else if (code == 421 && r.contains("foreman")) {
+            at = r["foreman"].get<std::string>()[1] - '0';
+        } else {
+            at = (at + 1) % 3;
+        }
+        pause(100);
+    }
+    std::string job(const std::string& id) {
+        return pack(Json{{"uid", id}, {"lane", "l"}, {"owner", "t"}, {"shape", "batch"}, {"rank", "normal"}, {"pieces", 2},
+            {"vcpus", 2.0}, {"gpus", 0.0}, {"ramGb", 4.0}, {"bundle", "img"}, {"imageGb", 1.0}, {"samePlace", false},
+            {"spread", false}, {"loaners", false}, {"guessS", 5.0}, {"bookmarkS", 0.0}, {"stashS", 0.0}});
+    }
+
+    EventBase base{event_base_new()};
+    State state;
+    std::unique_ptr<Served> state_server, cloud_server;
+    std::string serve[3], peer[3];
+    std::unique_ptr<HttpClient> clients[3];
+    pid_t pids[3] = {0, 0, 0};
+    std::map<std::string, std::pair<int, std::string>> tasks;
+    std::uint64_t tick = 0, baton = 0;
+    int at = 0;
+    bool finish = false;
+};
+
+TEST_F(Loopback, RunsCancelsAndSurvivesItsLeader) {
+    for (int i = 0; i < 3; ++i) EXPECT_EQ(insist(i, Method::get, "/ready", "", 200, 200).first, 200);
+    EXPECT_EQ(ask(0, Method::post, "/work", "rubbish").first, 400);
+    EXPECT_EQ(ask(1, Method::get, "/work/j-999999").first, 404);
+    EXPECT_EQ(insist(1, Method::post, "/work", job("j-000001"), 201, 200).first, 201);
+    EXPECT_EQ(insist(2, Method::post, "/work", job("j-000001"), 200, 200).first, 200);
+    for (int i = 0; i < 200 && tasks.size() < 2; ++i) beat();
+    ASSERT_EQ(tasks.size(), 2U);
+    beat();  // reported as running
+
+    // The leader goes; the tasks live on under the next.
+    auto leader = state.rows.at("w/leader").first["node"].get<std::string>()[1] - '0';
+    std::uint64_t old = baton;
+    kill(pids[leader], SIGKILL);
+    waitpid(pids[leader], nullptr, 0);
+    pids[leader] = 0;
+    for (int i = 0; i < 200 && baton == old; ++i) beat();
+    EXPECT_GT(baton, old);
+    EXPECT_EQ(tasks.size(), 2U);
+
+    finish = true;
+    for (auto& [piece, t] : tasks) t.second = "exited";
+    int other = (leader + 1) % 3;
+    Json last;
+    for (int i = 0; i < 200; ++i) {
+        beat();
+        last = ask(other, Method::get, "/work/j-000001").second;
+        if (last.is_object() && last.value("status", "") == "done") break;
+    }
+    EXPECT_EQ(last.value("status", ""), "done");
+    for (int i = 0; i < 50 && !tasks.empty(); ++i) beat();
+    EXPECT_TRUE(tasks.empty()) << "cleared once done was durable";
+
+    finish = false;
+    EXPECT_EQ(insist(other, Method::post, "/work", job("j-000002"), 201, 200).first, 201);
+    for (int i = 0; i < 200 && tasks.size() < 2; ++i) beat();
+    auto [code, said] = insist(other, Method::post, "/work/j-000002/cancel", "", 200, 200);
+    EXPECT_EQ(said.value("status", ""), "cancelled");
+    for (int i = 0; i < 200 && !tasks.empty(); ++i) beat();
+    EXPECT_TRUE(tasks.empty());
+    EXPECT_EQ(insist(other, Method::post, "/work/j-000001/cancel", "", 200, 200).second.value("status", ""), "done");
+}
+
+TEST(CommandLine, SaysWhatIsWrongAndExitsWithTwo) {
+    auto run = [](const std::string& args) {
+        FILE* p = popen((std::string(WALKFORD_BINARY) + " " + args + " 2>&1").c_str(), "r");
+        std::string out;
+        char buffer[512];
+        while (std::size_t n = fread(buffer, 1, sizeof buffer, p)) out.append(buffer, n);
+        return std::pair{WEXITSTATUS(pclose(p)), out};
+    };
+    EXPECT_EQ(run("--version").first, 0);
+    EXPECT_EQ(run("--help").first, 0);
+    EXPECT_EQ(run("").first, 2);
+    auto [code, out] = run("--config /nowhere/settings.json");
+    EXPECT_EQ(code, 2);
+    EXPECT_NE(out.find("/nowhere/settings.json"), std::string::npos);
+    EXPECT_EQ(run("--config /dev/null --check").first, 2);
+}
+
+}  // namespace
+}  // namespace walkford::transport
--- /dev/null
+++ b/tests/protocol_test.cpp
@@ -0,0 +1,267 @@
+// The wire, the settings and the peers' frames, with what strangers and mistakes send.
+#include <gtest/gtest.h>
+
+#include <cmath>
+#include <limits>
+#include <random>
+
+#include "protocol/pack.hpp"
+#include "protocol/peer_frame.hpp"
+#include "protocol/settings_file.hpp"
+#include "protocol/wire.hpp"
+
+namespace walkford::protocol {
+namespace {
+
+Json good_job() {
+    return Json{{"uid", "j-000412"}, {"lane", "train"},     {"owner", "vision"}, {"shape", "ensemble"},
+                {"rank", "high"},    {"pieces", 16},        {"vcpus", 8.0},      {"gpus", 1.0},
+                {"ramGb", 64.0},     {"bundle", "img-07"},  {"imageGb", 6.2},    {"builds", {"g8"}},
+                {"yard", nullptr},   {"samePlace", true},   {"spread", false},   {"loaners", true},
+                {"guessS", 240.0},   {"bookmarkS", 30.0},   {"stashS", 4.0},     {"dueS", 900.0}};
+}
+
+int code_of(const std::string& body, std::string_view path = "/work", Method m = Method::post) {
+    Arrival a = parse_request(1, m, path, body);
+    auto* reply = std::get_if<HttpReply>(&a);
+    return reply ? reply->code : 200;
+}
+
+TEST(Wire, ReadsAJob) {
+    Arrival a = parse_request(7, Method::post, "/work", pack(good_job()));
+    ASSERT_TRUE(std::holds_alternative<Input>(a));
+    const auto& q = std::get<SubmitRequest>(std::get<Input>(a));
+    EXPECT_EQ(q.request, 7U);
+    EXPECT_EQ(q.spec.id, "j-000412");
+    EXPECT_TRUE(q.spec.gang);
+    EXPECT_EQ(q.spec.tasks, 16U);
+    EXPECT_EQ(q.spec.priority, Priority::high);
+    EXPECT_DOUBLE_EQ(q.spec.each.ram, 64.0);
+    EXPECT_DOUBLE_EQ(q.spec.deadline_s, 900.0);
+    EXPECT_EQ(q.kind_names, std::vector<std::string>{"g8"});
+    EXPECT_FALSE(q.zone_named);
+}
+
+TEST(Wire, EveryFieldIsLookedAt) {
+    const Json whole = good_job();
+    for (const auto& [field, value] : whole.items()) {
+        bool nullable = field == "builds" || field == "yard" || field == "dueS";
+        Json without = good_job();
+        without.erase(field);
+        EXPECT_EQ(code_of(pack(without)), nullable ? 200 : 400) << "without " << field;
+        Json null = good_job();
+        null[field] = nullptr;
+        EXPECT_EQ(code_of(pack(null)), nullable ? 200 : 400) << "null " << field;
+        Json odd = good_job();
+        odd[field] = Json::array({Json::object()});
+        EXPECT_EQ(code_of(pack(odd)), 400) << "odd " << field;
+    }
+    for (auto [field, value] : std::vector<std::pair<std::string, Json>>{
+             {"pieces", 0}, {"pieces", 100001}, {"pieces", -1}, {"pieces", 1.5},
+             {"vcpus", -1.0}, {"vcpus", std::nan("")}, {"ramGb", std::numeric_limits<double>::infinity()},
+             {"shape", "heap"}, {"rank", "low"}, {"uid", "x-1"}, {"uid", "j-1/2"}, {"samePlace", 1}}) {
+        Json job = good_job();
+        job[field] = value;
+        EXPECT_EQ(code_of(pack(job)), 400) << field;
+    }
+}
+
+TEST(Wire, NumbersAreReadTolerantly) {
+    Json job = good_job();
+    job["pieces"] = 16.0;
+    job["vcpus"] = 8;
+    job["surprise"] = Json{{"deep", 1}};
+    EXPECT_EQ(code_of(pack(job)), 200);
+}
+
+TEST(Wire, HostileBodiesAreRefusedCheaply) {
+    EXPECT_EQ(code_of(""), 400);
+    EXPECT_EQ(code_of("not msgpack at all"), 400);
+    EXPECT_EQ(code_of(pack(good_job()) + "x"), 400);                        // trailing bytes
+    EXPECT_EQ(code_of(pack(Json::array({1}))), 400);                        // not a map
+    EXPECT_EQ(code_of(std::string(10000, '\x91')), 400);                    // 10,000 deep
+    EXPECT_EQ(code_of(std::string("\xdd\xff\xff\xff\xff", 5)), 400);        // 4 GiB of items
+    EXPECT_EQ(code_of(std::string("\xdf\xff\xff\xff\xff", 5)), 400);
+    EXPECT_EQ(code_of(std::string("\xdb\xff\xff\xff\xff", 5) + "abc"), 400);  // 4 GiB of text
+    EXPECT_EQ(code_of(std::string("\xc4\x01\x00", 3)), 400);                // binary
+    EXPECT_EQ(code_of(std::string("\x81\x01\x02", 3)), 400);                // key that is no text
+    EXPECT_EQ(code_of(std::string(70000, '\x01')), 400);                    // over 64 KiB
+}
+
+TEST(Wire, MutatedBodiesNeverHarm) {
+    std::mt19937 rng(3);
+    Json beat{{"walker", "host-000231"}, {"endpoint", "10.1.0.232:9000"}, {"build", "g8"},
+              {"yard", "a"}, {"loaners", true}, {"stint", 1}, {"tick", 88}, {"baton", 41},
+              {"warningS", nullptr},
+              {"pieces", {{{"piece", "j-000412/3"}, {"try", 2}, {"status", "running"}}}}};
+    std::string whole[2] = {pack(good_job()), pack(beat)};
+    const char* paths[2] = {"/work", "/agent/beat"};
+    int accepted = 0;
+    for (int i = 0; i < 20000; ++i) {
+        std::string body = whole[i % 2];
+        for (unsigned k = 0; k <= rng() % 4; ++k) body[rng() % body.size()] = static_cast<char>(rng());
+        if (rng() % 3 == 0) body.resize(rng() % body.size());
+        int code = code_of(body, paths[i % 2]);
+        EXPECT_TRUE(code == 200 || code == 400) << code;
+        accepted += code == 200;
+    }
+    EXPECT_GT(accepted, 0);
+    EXPECT_LT(accepted, 20000);
+}
+
+TEST(Wire, Paths) {
+    EXPECT_EQ(code_of("", "/nowhere"), 404);
+    EXPECT_EQ(code_of("", "/work/j-1/2", Method::get), 404);
+    EXPECT_EQ(code_of("", "/work/../w/leader", Method::get), 404);
+    EXPECT_EQ(code_of("", "/work/" + std::string(5000, 'j'), Method::get), 404);
+    EXPECT_EQ(code_of("", "/work/j-000412", Method::del), 405);
+    EXPECT_EQ(code_of("", "/work", Method::get), 405);
+    EXPECT_EQ(code_of("", "/ready", Method::post), 405);
+    EXPECT_EQ(code_of("", "/work/j-000412", Method::get), 200);
+    EXPECT_EQ(code_of("", "/work/j-000412/cancel", Method::post), 200);
+}
+
+TEST(Wire, BeatsWithoutNeededFieldsAreRefused) {
+    Json beat{{"walker", "host-1"}, {"endpoint", "1.2.3.4:5"}, {"build", "k"}, {"yard", "a"},
+              {"loaners", false}, {"stint", 1}, {"tick", 1}, {"baton", 0}, {"pieces", Json::array()}};
+    EXPECT_EQ(code_of(pack(beat), "/agent/beat"), 200);
+    for (const char* field : {"walker", "stint", "tick", "baton", "pieces"}) {
+        Json without = beat;
+        without.erase(field);
+        EXPECT_EQ(code_of(pack(without), "/agent/beat"), 400) << field;
+    }
+}
+
+TEST(Wire, NoCapacityIsToldFromAnOutage) {
+    Names names;
+    CloudCall call;
+    call.verb = CloudVerb::hire;
+    EXPECT_TRUE(decode_cloud(call, 503, pack(Json{{"error", "no capacity"}}), names).more);
+    EXPECT_FALSE(decode_cloud(call, 503, pack(Json{{"error", "trouble"}}), names).more);
+    EXPECT_FALSE(decode_cloud(call, 503, "", names).more);
+}
+
+TEST(Wire, AnAnswerOfTheStateServiceThatIsNotUnderstoodCountsAsNone) {
+    StateCall call;
+    call.verb = StateVerb::txn;
+    EXPECT_EQ(decode_state(call, 200, "garbage").status, 0);
+    call.verb = StateVerb::list;
+    EXPECT_EQ(decode_state(call, 200, pack(Json{{"rows", {{{"k", 5}}}}})).status, 0);
+}
+
+TEST(Peers, FramesComeBackAndDamagedOnesAreDropped) {
+    PeerFact f;
+    f.node = "n1";
+    f.incarnation = "abc";
+    f.sequence = 9;
+    f.token = 77;
+    f.leader = "n2";
+    f.state_quiet_ms = -1;
+    std::string frame = encode_frame(f).substr(4);
+    auto back = decode_frame(frame);
+    ASSERT_TRUE(back);
+    EXPECT_EQ(back->token, 77U);
+    EXPECT_EQ(back->leader, "n2");
+    EXPECT_EQ(back->state_quiet_ms, -1);
+    std::mt19937 rng(5);
+    for (int i = 0; i < 5000; ++i) {
+        std::string bad = frame;
+        bad[rng() % bad.size()] = static_cast<char>(rng());
+        if (rng() % 4 == 0) bad.resize(rng() % bad.size());
+        decode_frame(bad);  // may be refused or read; never more memory than a frame is worth
+    }
+    EXPECT_FALSE(decode_frame(""));
+    EXPECT_FALSE(decode_frame(std::string(5000, 'x')));
+    // A text that claims 2^40 bytes.
+    std::string huge = frame;
+    for (int i = 0; i < 8; ++i) huge[5 + i] = '\x7f';
+    EXPECT_FALSE(decode_frame(huge));
+}
+
+Json good_settings() {
+    return Json::parse(R"({"node_name":"n0","location":"a","serve_on":"10.0.0.1:8080",
+      "cluster_listen":"10.0.0.1:8081","seeds":[{"node_name":"n1","location":"a","endpoint":"10.0.0.2:8081"}],
+      "external":{"cloud":"10.2.0.2:8443","state":"10.2.0.1:2379"},
+      "params":{"nodes":2,"zones":["a"],"teams":[{"name":"t","cpus":1.0,"cpus_max":2.0,"gpus":0.0,"gpus_max":0.0}],
+      "objectives":[{"kind":"wait","class":"c","within_s":30.0,"share":0.9}],
+      "workers":{"report_s":2.5,"lease_s":14.0,"gang_wait_s":30.0,"gang_peer_s":4.0,"cancel_s":34.0},
+      "state":{"rps":200.0,"write_rps":25.0,"value_kb":4.0,"txn_ops":8},
+      "cloud":{"rps":5.0,"list_lag_s":5.0},"machine_limits":{"cores":0.05,"ram_mb":40.0,"fd_limit":600},
+      "skew_ms":100.0}})");
+}
+
+std::string refusal(const std::string& text) {
+    std::vector<std::string> notes;
+    try {
+        read_platform(text, notes);
+    } catch (const SettingsError& e) {
+        return e.what();
+    }
+    return "";
+}
+
+TEST(Settings, GoodOnesAreRead) {
+    std::vector<std::string> notes;
+    Json s = good_settings();
+    s["unheard_of"] = 1;
+    s["params"]["objectives"].push_back(Json{{"kind", "style"}});
+    Platform p = read_platform(s.dump(), notes);
+    EXPECT_EQ(p.peers.size(), 1U);
+    EXPECT_EQ(p.wait_aims.size(), 1U);
+    EXPECT_DOUBLE_EQ(p.cancel_s, 34);
+    EXPECT_EQ(notes.size(), 1U);  // the objective of unknown kind
+}
+
+TEST(Settings, BadOnesNameTheField) {
+    EXPECT_NE(refusal("{"), "");
+    EXPECT_NE(refusal("[]"), "");
+    struct Case {
+        const char* pointer;
+        Json value;
+        const char* field;
+    };
+    for (const Case& c : std::vector<Case>{
+             {"/node_name", "", "node_name"},
+             {"/serve_on", "nowhere", "serve_on"},
+             {"/serve_on", "1.2.3.4:99999", "serve_on"},
+             {"/seeds/0/endpoint", 5, "seeds[0].endpoint"},
+             {"/external/state", nullptr, "external.state"},
+             {"/params/zones", Json::array(), "params.zones"},
+             {"/params/teams/0/cpus", -1, "params.teams[0].cpus"},
+             {"/params/workers/lease_s", 0, "params.workers.lease_s"},
+             {"/params/workers/lease_s", 1, "params.workers.lease_s"},
+             {"/params/state/txn_ops", "8", "params.state.txn_ops"},
+             {"/params/cloud/rps", 0, "params.cloud.rps"}}) {
+        Json s = good_settings();
+        s[Json::json_pointer(c.pointer)] = c.value;
+        EXPECT_NE(refusal(s.dump()).find(c.field), std::string::npos)
+            << c.pointer << " gave: " << refusal(s.dump());
+    }
+}
+
+std::string policy_refusal(const std::string& text) {
+    std::string path = testing::TempDir() + "walkford-test-" + std::to_string(::getpid()) + ".properties";
+    FILE* f = std::fopen(path.c_str(), "w");
+    std::fputs(text.c_str(), f);
+    std::fclose(f);
+    std::string said;
+    try {
+        load_policy(path);
+    } catch (const SettingsError& e) {
+        said = e.what();
+    }
+    std::remove(path.c_str());
+    return said;
+}
+
+TEST(Properties, AreChecked) {
+    EXPECT_EQ(policy_refusal("scale.mark.low = 0.2\nscale.mark.high = 0.9\n"), "");
+    EXPECT_NE(policy_refusal("scale.mark.low = 0.9\nscale.mark.high = 0.5\n").find("scale.mark.low"), std::string::npos);
+    EXPECT_NE(policy_refusal("scale.mark.high = 1\n").find("scale.mark.high"), std::string::npos);
+    EXPECT_NE(policy_refusal("scale.mark.hihg = 0.9\n").find("scale.mark.hihg"), std::string::npos);
+    EXPECT_NE(policy_refusal("scale.order = random\n").find("scale.order"), std::string::npos);
+    EXPECT_NE(policy_refusal("leader.lease_s = soon\n").find("leader.lease_s"), std::string::npos);
+}
+
+}  // namespace
+}  // namespace walkford::protocol
