--- a/src/coordination/policy.hpp
+++ b/src/coordination/policy.hpp
@@ -14,7 +14,7 @@
     double mark_high = 0.85;
     double out_interval_s = 4;
     double in_interval_s = 2;
-    std::uint32_t cap_per_kind = 64;
+    std::uint32_t cap_per_kind = 1000;
     std::uint32_t permanent_first = 1;
     std::string order = "cost";  // cost | cores
     bool rent_unplaceable = true;
