--- a/src/coordination/scaler.cpp
+++ b/src/coordination/scaler.cpp
@@ -235,37 +235,40 @@
 void Scaler::give_back(Ms now, CloudDialogue& cloud) {
     const Policy& policy = term_.core.policy;
     Books& books = term_.books;
-    if (now < in_at_) return;
+    // Singly, as the design says; at hundreds of machines several intervals may have passed since the
+    // last tick, and each of them is due its one machine.
+    Ms interval = std::max<Ms>(1, to_ms(policy.in_interval_s));
+    auto due = static_cast<std::uint32_t>(std::clamp<Ms>((now - in_at_) / interval, 0, kTick / interval));
+    if (due == 0) due = now >= in_at_ ? 1 : 0;
+    if (due == 0) return;
     std::vector<Room> trial = rooms_;
     left_ = unplaceable(trial);
     std::set<Id> wanted;
     for (const Room& r : trial) {
         if (!r.taken.empty() && r.machine != kNone) wanted.insert(r.machine);
     }
-    Id best = kNone;
-    double best_price = -1;
+    std::vector<std::pair<double, Id>> empty;
+    // Below the low mark one goes; above it only one that has stood empty for long: a measure held up
+    // by one resource says nothing of machines bought for another.
+    bool below = measure_.value < policy.mark_low;
     for (Id id = 0; id < books.machines.size(); ++id) {
         Machine& m = books.machines[id];
         if (!m.tasks.empty()) m.idle_since = now;
         const Kind* kind = books.kind(m.kind);
         if (m.gone || !m.held || m.returning || m.permanent || !m.reported || !kind) continue;
         if (!m.tasks.empty() || wanted.count(id)) continue;
-        // Below the low mark one goes; above it only one that has stood empty for long: a measure
-        // held up by one resource says nothing of machines bought for another.
-        bool below = measure_.value < policy.mark_low;
         double price = m.spot ? kind->spot_price : kind->price;
         double wasted = price / 3600.0 * static_cast<double>(now - m.idle_since) / 1000.0;
         bool idle = policy.idle_cost > 0 && wasted > policy.idle_cost;
-        if (!below && !idle) continue;
-        if (below && now < m.idle_since + 5000) continue;
-        if (price > best_price) {
-            best = id;
-            best_price = price;
-        }
+        if (!idle && !(below && now >= m.idle_since + 5000)) continue;
+        empty.emplace_back(-price, id);
+    }
+    std::sort(empty.begin(), empty.end());
+    if (empty.size() > due) empty.resize(due);
+    for (const auto& [price, id] : empty) {
+        in_at_ = now + interval;
+        cloud.give_back(now, id, below ? "below the low mark" : "idle");
     }
-    if (best == kNone) return;
-    in_at_ = now + to_ms(policy.in_interval_s);
-    cloud.give_back(now, best, measure_.value < policy.mark_low ? "below the low mark" : "idle");
 }
 
 // Every ten seconds, for those who ask for the debug log: what stands where.
