Gangs: room is gathered in the zone where they fit soonest

Cause: with arrays and gangs taking turns, places in one zone never stood free together; 6 to 8 tasks at once waited while single places went to arrays. Placements tried and taken back no longer write records.

--- a/src/bookkeeping/books.cpp
+++ b/src/bookkeeping/books.cpp
@@ -232,6 +232,16 @@
     return records;
 }
 
+bool Books::durable(Id job, std::uint32_t index) const {
+    const auto& slot = jobs[job].chunks.at(index);
+    if (!slot) return true;
+    return std::all_of(slot->tasks.begin(), slot->tasks.end(), [](const Task& t) {
+        bool done = t.phase == Phase::done;
+        if (done != t.c_done) return false;
+        return done || (t.machine == t.c_machine && t.attempt == t.c_attempt);
+    });
+}
+
 void Books::commit(Id job, std::uint32_t index, const std::vector<TaskRecord>& stored,
                    std::uint64_t stamp) {
     Chunk& c = chunk(job, index);
--- a/src/bookkeeping/books.hpp
+++ b/src/bookkeeping/books.hpp
@@ -134,7 +134,8 @@
     bool sick = false;
     Ms avoid_until = 0;
     Id kept_for = kNone;     // room is being made here for this job ...
-    Ms kept_until = -1;      // ... and no other may take it until then
+    Ms kept_until = -1;      // ... and no other may take it until then ...
+    Ms kept_ready = -1;      // ... unless it is surely done before the room is complete
     Ms idle_since = 0;
     Ms probe_at = 0;
     bool probing = false;
@@ -196,6 +197,8 @@
                   const std::map<std::uint32_t, ChunkView>* chunks, Ms now);
     void touch(TaskRef ref) { dirty.insert({ref.job, ref.task / jobs[ref.job].spec.chunk}); }
     std::vector<TaskRecord> snapshot(Id job, std::uint32_t chunk) const;
+    // Does the durable record say what the books say?
+    bool durable(Id job, std::uint32_t chunk) const;
     void commit(Id job, std::uint32_t chunk, const std::vector<TaskRecord>& stored,
                 std::uint64_t stamp);
 
--- a/src/coordination/cloud_dialogue.cpp
+++ b/src/coordination/cloud_dialogue.cpp
@@ -49,47 +49,47 @@
     Txn txn;
     txn.conditions = {{keys::kLeader, term_.token}, {keys::kRegistry, stamp_}};
     txn.writes = {{keys::kRegistry, encode_registry(registry_, term_.core.names), 0}};
-    term_.core.state.txn(
-        Urgency::placement, std::move(txn),
-        [this, alive = std::weak_ptr<bool>(term_.alive), version = version_](
-            Ms at, const StateReply& r) {
-            if (alive.expired()) return;
-            writing_ = false;
-            if (r.status == 200) {
-                stamp_ = r.revision;
-                written_ = version;
-                std::vector<Waiting> ready;
-                for (auto it = waiting_.begin(); it != waiting_.end();) {
-                    if (it->version <= written_) {
-                        ready.push_back(std::move(*it));
-                        it = waiting_.erase(it);
-                    } else {
-                        ++it;
-                    }
-                }
-                for (Waiting& w : ready) w.then(at);
-                return;
-            }
-            write_at_ = at + 250;
-            if (r.status != 409) return;
-            for (const std::string& failed : r.failed) {
-                if (failed == keys::kLeader) {
-                    term_.depose(at, "a write found another leader");
-                    return;
-                }
-            }
-            // An earlier copy of our own write got there; ours is written over it.
-            writing_ = true;
-            term_.core.state.get(
-                keys::kRegistry,
-                [this, alive](Ms, const StateReply& got) {
-                    if (alive.expired()) return;
-                    writing_ = false;
-                    if (got.status == 200 && got.rows.size() == 1) stamp_ = got.rows[0].stamp;
-                    if (got.status == 404) stamp_ = 0;
-                },
-                term_.core.out);
-        });
+    term_.core.state.txn(Urgency::placement, std::move(txn),
+                         [this, alive = std::weak_ptr<bool>(term_.alive), version = version_](
+                             Ms at, const StateReply& r) {
+                             if (alive.expired()) return;
+                             writing_ = false;
+                             if (r.status == 200) {
+                                 stamp_ = r.revision;
+                                 written_ = version;
+                                 std::vector<Waiting> ready;
+                                 for (auto it = waiting_.begin(); it != waiting_.end();) {
+                                     if (it->version <= written_) {
+                                         ready.push_back(std::move(*it));
+                                         it = waiting_.erase(it);
+                                     } else {
+                                         ++it;
+                                     }
+                                 }
+                                 for (Waiting& w : ready) w.then(at);
+                                 return;
+                             }
+                             write_at_ = at + 250;
+                             if (r.status != 409) return;
+                             for (const std::string& failed : r.failed) {
+                                 if (failed == keys::kLeader) {
+                                     term_.depose(at, "a write found another leader");
+                                     return;
+                                 }
+                             }
+                             // An earlier copy of our own write got there; ours is written over it.
+                             writing_ = true;
+                             term_.core.state.get(
+                                 keys::kRegistry,
+                                 [this, alive](Ms, const StateReply& got) {
+                                     if (alive.expired()) return;
+                                     writing_ = false;
+                                     if (got.status == 200 && got.rows.size() == 1)
+                                         stamp_ = got.rows[0].stamp;
+                                     if (got.status == 404) stamp_ = 0;
+                                 },
+                                 term_.core.out);
+                         });
 }
 
 bool CloudDialogue::can_rent(Id kind, Id zone, bool spot, Ms now) const {
@@ -128,8 +128,8 @@
     bool repeated = again != refused_.end() && again->second.times > 1;
     spdlog::log(repeated ? spdlog::level::debug : spdlog::level::info,
                 "rent {}: {} {}{} in {}{}: {}", h.name, h.count, term_.core.names.kinds.name(kind),
-                 spot ? " (spot)" : "", term_.core.names.zones.name(zone),
-                 permanent ? ", permanent" : "", why);
+                spot ? " (spot)" : "", term_.core.names.zones.name(zone),
+                permanent ? ", permanent" : "", why);
     write(now);
     return true;
 }
@@ -160,57 +160,56 @@
     c.spot = it->spot;
     c.count = it->count;
     (void)now;
-    term_.core.cloud.call(
-        std::move(c), [this, alive = std::weak_ptr<bool>(term_.alive), name, find](
-                          Ms at, const CloudReply& r) {
-            if (alive.expired()) return;
-            asking_.erase(name);
-            auto hire = find();
-            if (hire == registry_.hires.end()) return;
-            Books& books = term_.books;
-            if (r.status == 200) {
-                spdlog::info("hire {}: {} of {} machines", name, r.names.size(), hire->count);
-                if (!r.names.empty()) refused_.erase({hire->kind, hire->zone, hire->spot});
-                if (r.names.size() < hire->count) ran_out(at, hire->kind, hire->zone, hire->spot);
-                for (const std::string& machine : r.names) {
-                    if (returned_.count(machine)) continue;
-                    Id id = books.add_machine(machine, hire->kind, hire->zone, hire->spot, at);
-                    Machine& m = books.machines[id];
-                    if (m.held) continue;
-                    m.held = true;
-                    m.permanent = hire->permanent;
-                    m.kind = hire->kind;
-                    m.zone = hire->zone;
-                    m.spot = hire->spot;
-                    strays_.erase(machine);
-                    registry_.machines.push_back(
-                        {machine, hire->kind, hire->zone, hire->spot, hire->permanent, false});
-                }
-                if (!r.names.empty()) registry_.first_rented = true;
-                registry_.hires.erase(hire);
-                term_.place_now = true;
-                changed();
-                write(at);
-            } else if (r.status == 503 && r.more) {
-                // No capacity: surely not executed. (`more` is set for that answer alone.)
-                auto again = refused_.find({hire->kind, hire->zone, hire->spot});
-                spdlog::log(again != refused_.end() ? spdlog::level::debug : spdlog::level::info,
-                            "hire {}: no capacity", name);
-                ran_out(at, hire->kind, hire->zone, hire->spot);
-                registry_.hires.erase(hire);
-                changed();
-                write(at);
-            } else if (r.status == 400) {
-                spdlog::error("hire {} was refused as malformed", name);
-                refused_[{hire->kind, hire->zone, hire->spot}] = {at + 60000, 1};
-                registry_.hires.erase(hire);
-                changed();
-                write(at);
-            } else {
-                // No answer, an outage or too many requests: the same name again until it is known.
-                ask_again_[name] = at + (r.status == 429 ? 1000 : 1500);
+    term_.core.cloud.call(std::move(c), [this, alive = std::weak_ptr<bool>(term_.alive), name,
+                                         find](Ms at, const CloudReply& r) {
+        if (alive.expired()) return;
+        asking_.erase(name);
+        auto hire = find();
+        if (hire == registry_.hires.end()) return;
+        Books& books = term_.books;
+        if (r.status == 200) {
+            spdlog::info("hire {}: {} of {} machines", name, r.names.size(), hire->count);
+            if (!r.names.empty()) refused_.erase({hire->kind, hire->zone, hire->spot});
+            if (r.names.size() < hire->count) ran_out(at, hire->kind, hire->zone, hire->spot);
+            for (const std::string& machine : r.names) {
+                if (returned_.count(machine)) continue;
+                Id id = books.add_machine(machine, hire->kind, hire->zone, hire->spot, at);
+                Machine& m = books.machines[id];
+                if (m.held) continue;
+                m.held = true;
+                m.permanent = hire->permanent;
+                m.kind = hire->kind;
+                m.zone = hire->zone;
+                m.spot = hire->spot;
+                strays_.erase(machine);
+                registry_.machines.push_back(
+                    {machine, hire->kind, hire->zone, hire->spot, hire->permanent, false});
             }
-        });
+            if (!r.names.empty()) registry_.first_rented = true;
+            registry_.hires.erase(hire);
+            term_.place_now = true;
+            changed();
+            write(at);
+        } else if (r.status == 503 && r.more) {
+            // No capacity: surely not executed. (`more` is set for that answer alone.)
+            auto again = refused_.find({hire->kind, hire->zone, hire->spot});
+            spdlog::log(again != refused_.end() ? spdlog::level::debug : spdlog::level::info,
+                        "hire {}: no capacity", name);
+            ran_out(at, hire->kind, hire->zone, hire->spot);
+            registry_.hires.erase(hire);
+            changed();
+            write(at);
+        } else if (r.status == 400) {
+            spdlog::error("hire {} was refused as malformed", name);
+            refused_[{hire->kind, hire->zone, hire->spot}] = {at + 60000, 1};
+            registry_.hires.erase(hire);
+            changed();
+            write(at);
+        } else {
+            // No answer, an outage or too many requests: the same name again until it is known.
+            ask_again_[name] = at + (r.status == 429 ? 1000 : 1500);
+        }
+    });
 }
 
 void CloudDialogue::give_back(Ms now, Id machine, const char* why) {
@@ -218,8 +217,8 @@
     if (m.returning || m.gone) return;
     m.returning = true;
     spdlog::info("give back {} ({}{}): {}", m.name,
-                 m.kind == kNone ? "?" : term_.core.names.kinds.name(m.kind), m.spot ? ", spot" : "",
-                 why);
+                 m.kind == kNone ? "?" : term_.core.names.kinds.name(m.kind),
+                 m.spot ? ", spot" : "", why);
     std::string name = m.name;
     for (Held& h : registry_.machines) {
         if (h.name == name) h.returning = true;
@@ -241,22 +240,21 @@
     for (const std::string& name : to_return_) {
         if (c.names.size() < 100) c.names.push_back(name);
     }
-    term_.core.cloud.call(
-        CloudCall(c), [this, alive = std::weak_ptr<bool>(term_.alive), names = c.names](
-                          Ms at, const CloudReply& r) {
-            if (alive.expired()) return;
-            returning_ = false;
-            if (r.status != 200) {
-                return_at_ = at + 1200;
-                return;
-            }
-            for (const std::string& name : names) {
-                to_return_.erase(name);
-                returned_[name] = at;
-                Id id = term_.books.find_machine(name);
-                if (id != kNone) removed(at, id, "given back");
-            }
-        });
+    term_.core.cloud.call(CloudCall(c), [this, alive = std::weak_ptr<bool>(term_.alive),
+                                         names = c.names](Ms at, const CloudReply& r) {
+        if (alive.expired()) return;
+        returning_ = false;
+        if (r.status != 200) {
+            return_at_ = at + 1200;
+            return;
+        }
+        for (const std::string& name : names) {
+            to_return_.erase(name);
+            returned_[name] = at;
+            Id id = term_.books.find_machine(name);
+            if (id != kNone) removed(at, id, "given back");
+        }
+    });
 }
 
 void CloudDialogue::removed(Ms now, Id machine, const char* why) {
@@ -288,8 +286,7 @@
     c.verb = CloudVerb::list;
     c.after = after;
     term_.core.cloud.call(
-        std::move(c),
-        [this, alive = std::weak_ptr<bool>(term_.alive)](Ms at, const CloudReply& r) {
+        std::move(c), [this, alive = std::weak_ptr<bool>(term_.alive)](Ms at, const CloudReply& r) {
             if (alive.expired()) return;
             if (r.status != 200) {
                 listing_ = false;
@@ -394,8 +391,8 @@
                    now > std::max(m.rented_at + to_ms(boot * policy.boot_give_up),
                                   term_.elected_at + 5000)) {
             give_back(now, id, "never came up");
-        } else if (m.lost && now > m.last_beat + to_ms(term_.core.platform.lease_s +
-                                                       policy.lost_return_s)) {
+        } else if (m.lost &&
+                   now > m.last_beat + to_ms(term_.core.platform.lease_s + policy.lost_return_s)) {
             give_back(now, id, "silent");
         } else if (!m.reported && m.cloud == CloudStatus::running &&
                    now > std::max({m.listed_since + to_ms(policy.unseen_return_s),
@@ -411,27 +408,27 @@
     CloudCall c;
     c.verb = CloudVerb::kinds;
     (void)now;
-    term_.core.cloud.call(std::move(c), [this, alive = std::weak_ptr<bool>(term_.alive)](
-                                            Ms at, const CloudReply& r) {
-        if (alive.expired()) return;
-        reading_kinds_ = false;
-        if (r.status != 200 || r.kinds.empty()) {
-            kinds_at_ = at + 1500;
-            return;
-        }
-        kinds_at_ = at + kKindsEvery;
-        bool first = term_.core.kinds.empty();
-        term_.core.kinds = r.kinds;
-        term_.books.set_kinds(r.kinds);
-        if (first) term_.place_now = true;
-        // Kept durably (at nominal prices, which move too often to be written): a controller that
-        // starts while the cloud is out can still judge submissions.
-        if (term_.core.view.kinds) return;
-        Txn txn;
-        txn.conditions = {{keys::kLeader, term_.token}};
-        txn.writes = {{keys::kKinds, encode_kinds(r.kinds, term_.core.names), 0}};
-        term_.core.state.txn(Urgency::progress, std::move(txn), [](Ms, const StateReply&) {});
-    });
+    term_.core.cloud.call(
+        std::move(c), [this, alive = std::weak_ptr<bool>(term_.alive)](Ms at, const CloudReply& r) {
+            if (alive.expired()) return;
+            reading_kinds_ = false;
+            if (r.status != 200 || r.kinds.empty()) {
+                kinds_at_ = at + 1500;
+                return;
+            }
+            kinds_at_ = at + kKindsEvery;
+            bool first = term_.core.kinds.empty();
+            term_.core.kinds = r.kinds;
+            term_.books.set_kinds(r.kinds);
+            if (first) term_.place_now = true;
+            // Kept durably (at nominal prices, which move too often to be written): a controller
+            // that starts while the cloud is out can still judge submissions.
+            if (term_.core.view.kinds) return;
+            Txn txn;
+            txn.conditions = {{keys::kLeader, term_.token}};
+            txn.writes = {{keys::kKinds, encode_kinds(r.kinds, term_.core.names), 0}};
+            term_.core.state.txn(Urgency::progress, std::move(txn), [](Ms, const StateReply&) {});
+        });
 }
 
 void CloudDialogue::tick(Ms now) {
--- a/src/coordination/cloud_dialogue.hpp
+++ b/src/coordination/cloud_dialogue.hpp
@@ -45,23 +45,23 @@
     Term& term_;
     Fates& fates_;
     Registry registry_;
-    bool loaded_ = false;       // the registry is known (read, or made from the first list)
+    bool loaded_ = false;  // the registry is known (read, or made from the first list)
     std::uint64_t stamp_ = 0;
     std::uint64_t version_ = 0;
     std::uint64_t written_ = 0;
     bool writing_ = false;
     Ms write_at_ = 0;
     std::vector<Waiting> waiting_;
-    std::set<std::string> asking_;             // hires with a request open
-    std::map<std::string, Ms> ask_again_;      // ... or to be repeated
+    std::set<std::string> asking_;         // hires with a request open
+    std::map<std::string, Ms> ask_again_;  // ... or to be repeated
     void ran_out(Ms now, Id kind, Id zone, bool spot);
     struct Refusal {
         Ms until = 0;
         int times = 0;
     };
     std::map<std::tuple<Id, Id, bool>, Refusal> refused_;
-    std::set<std::string> to_return_;          // marked durably, the cloud is to be asked
-    std::map<std::string, Ms> returned_;       // answered: the late list may still show them
+    std::set<std::string> to_return_;     // marked durably, the cloud is to be asked
+    std::map<std::string, Ms> returned_;  // answered: the late list may still show them
     bool returning_ = false;
     Ms return_at_ = 0;
     bool listing_ = false;
--- /dev/null
+++ b/src/coordination/gatherer.cpp
@@ -0,0 +1,171 @@
+#include "coordination/gatherer.hpp"
+
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+
+#include "coordination/leader.hpp"
+
+namespace walkford {
+
+namespace {
+constexpr Ms kKeepFor = 2500;         // renewed by every round that still finds the gang waiting
+constexpr Ms kStopEvery = 1000;       // one gang at a time has work stopped for it
+constexpr Ms kWorthStopping = 10000;  // ... and only to start so much sooner
+constexpr Ms kSameZone = 5000;        // a zone begun with is not left for less
+}  // namespace
+
+Ms Gatherer::expected_end(TaskRef ref, Ms now) const {
+    const Books& books = term_.books;
+    const JobSpec& s = books.jobs[ref.job].spec;
+    const Task& t = term_.books.task(ref);
+    if (t.halting) return now + to_ms(s.save_s + term_.core.platform.report_s);
+    Ms run = to_ms(s.estimate_s);
+    if (t.running_since < 0) {
+        const Kind* kind = books.kind(books.machines[t.machine].kind);
+        double fetch = kind && kind->fetch_gb_per_s > 0 ? s.image_gb / kind->fetch_gb_per_s : 0;
+        return now + run + to_ms(fetch);
+    }
+    // Estimates are often wrong by half: one that has run longer than its own goes on for a while.
+    Ms ran = now - t.running_since;
+    return now + std::max({Ms{2000}, run - ran, ran > run ? ran / 3 : 0});
+}
+
+std::vector<std::pair<Ms, TaskRef>> Gatherer::ends(Ms now, Id job, Id machine,
+                                                   const MayStop* may_stop) const {
+    const Books& books = term_.books;
+    std::vector<std::pair<Ms, TaskRef>> list;
+    for (TaskRef ref : books.machines[machine].tasks) {
+        const Job& v = books.jobs[ref.job];
+        Ms end = expected_end(ref, now);
+        if (may_stop && (*may_stop)(v, books.jobs[job])) {
+            end = std::min(end, now + to_ms(v.spec.save_s + 2 * term_.core.platform.report_s));
+        }
+        list.emplace_back(end, ref);
+    }
+    std::sort(list.begin(), list.end());
+    return list;
+}
+
+std::optional<Gatherer::Plan> Gatherer::plan(Ms now, Id id, Id zone, const std::vector<Id>& usable,
+                                             const MayStop* may_stop) const {
+    const Books& books = term_.books;
+    const Job& j = books.jobs[id];
+    const JobSpec& s = j.spec;
+    std::vector<Slot> all;
+    for (Id mid : usable) {
+        const Machine& m = books.machines[mid];
+        const Kind* kind = books.kind(m.kind);
+        if (!kind || (zone != kNone && m.zone != zone) || j.failed_on.count(mid)) continue;
+        if (m.kept_for != kNone && m.kept_for != id) continue;
+        if (Books::slots(s, m.kind, m.zone, m.spot, kind->size) == 0) continue;
+        Amounts free = kind->size - m.used;
+        std::uint32_t had = 0;
+        auto count = [&](Ms at) {
+            std::uint32_t n = Books::slots(s, m.kind, m.zone, m.spot, free);
+            for (; had < n; ++had) all.push_back({at, mid});
+        };
+        count(now);
+        for (const auto& [end, ref] : ends(now, id, mid, may_stop)) {
+            free += books.jobs[ref.job].spec.each;
+            count(end);
+        }
+    }
+    std::sort(all.begin(), all.end());
+    Plan p;
+    std::map<Id, std::uint32_t> in_zone;
+    for (const Slot& slot : all) {
+        if (p.slots.size() == s.tasks) break;
+        // A gang that must be spread can't use them all in one zone.
+        if (++in_zone[books.machines[slot.machine].zone] > s.zone_most()) continue;
+        p.slots.push_back(slot);
+    }
+    if (p.slots.size() < s.tasks) return std::nullopt;
+    p.ready = p.slots.back().at;
+    return p;
+}
+
+void Gatherer::release(Id job) {
+    for (Machine& m : term_.books.machines) {
+        if (m.kept_for == job) m.kept_for = kNone;
+    }
+}
+
+bool Gatherer::gather(Ms now, Id id, const std::vector<Id>& usable, const MayStop& may_stop) {
+    Books& books = term_.books;
+    const Job& j = books.jobs[id];
+    std::vector<Id> zones{kNone};
+    if (j.spec.one_zone) {
+        zones.clear();
+        for (Id m : usable) {
+            Id zone = books.machines[m].zone;
+            if (std::find(zones.begin(), zones.end(), zone) == zones.end()) zones.push_back(zone);
+        }
+    }
+    Id kept_zone = kNone;
+    for (Id m : usable) {
+        if (books.machines[m].kept_for == id) kept_zone = books.machines[m].zone;
+    }
+    auto best_of = [&](const MayStop* stop) {
+        std::optional<Plan> best;
+        Ms best_at = 0;
+        for (Id zone : zones) {
+            auto p = plan(now, id, zone, usable, stop);
+            if (!p) continue;
+            Ms at = p->ready - (zone == kept_zone ? kSameZone : 0);
+            if (!best || at < best_at) {
+                best = std::move(p);
+                best_at = at;
+            }
+        }
+        return best;
+    };
+    std::optional<Plan> best = best_of(nullptr);
+    bool stopping = false;
+    const Policy& policy = term_.core.policy;
+    if (policy.preempt && now >= j.waiting_since + to_ms(policy.preempt_after_s) &&
+        now >= stopped_at_ + kStopEvery) {
+        auto sooner = best_of(&may_stop);
+        if (sooner && (!best || sooner->ready + kWorthStopping < best->ready)) {
+            best = std::move(sooner);
+            stopping = true;
+        }
+    }
+    release(id);
+    if (!best) return false;
+    for (const Slot& slot : best->slots) {
+        Machine& m = books.machines[slot.machine];
+        m.kept_for = id;
+        m.kept_until = now + kKeepFor;
+        m.kept_ready = best->ready;
+    }
+    if (stopping) stop_victims(now, id, *best, may_stop);
+    return true;
+}
+
+void Gatherer::stop_victims(Ms now, Id id, const Plan& plan, const MayStop& may_stop) {
+    Books& books = term_.books;
+    const JobSpec& s = books.jobs[id].spec;
+    std::map<Id, std::uint32_t> need;
+    for (const Slot& slot : plan.slots) ++need[slot.machine];
+    int stopped = 0;
+    for (const auto& [mid, places] : need) {
+        const Machine& m = books.machines[mid];
+        Amounts free = books.kind(m.kind)->size - m.used;
+        for (const auto& [end, ref] : ends(now, id, mid, &may_stop)) {
+            if (Books::slots(s, m.kind, m.zone, m.spot, free) >= places) break;
+            const Job& v = books.jobs[ref.job];
+            free += v.spec.each;
+            if (books.task(ref).halting || !may_stop(v, books.jobs[id])) continue;
+            fates_.halt(ref, v.spec.save_s + 1, now, true);
+            ++stopped;
+        }
+    }
+    stopped_at_ = now;
+    if (stopped > 0) {
+        spdlog::info("{} takes room for {} tasks on {} machines: {} tasks are stopped", s.id,
+                     s.tasks, need.size(), stopped);
+    }
+}
+
+}  // namespace walkford
--- a/src/coordination/io.hpp
+++ b/src/coordination/io.hpp
@@ -97,10 +97,10 @@
     std::string node;
     std::string incarnation;
     std::uint64_t sequence = 0;
-    std::uint64_t echo = 0;          // the last sequence heard from the receiver
-    std::string echo_incarnation;    // ... of that incarnation of it
-    std::uint64_t token = 0;         // the highest known
-    std::string leader;              // and whose it is
+    std::uint64_t echo = 0;            // the last sequence heard from the receiver
+    std::string echo_incarnation;      // ... of that incarnation of it
+    std::uint64_t token = 0;           // the highest known
+    std::string leader;                // and whose it is
     std::int64_t state_quiet_ms = -1;  // since the state service last answered; -1: never did
     std::int64_t up_ms = 0;
 };
@@ -156,7 +156,15 @@
     std::vector<Condition> conditions;
     std::vector<Write> writes;
 };
-enum class StateVerb : std::uint8_t { get, list, txn, lease_grant, lease_touch, lease_drop, changes };
+enum class StateVerb : std::uint8_t {
+    get,
+    list,
+    txn,
+    lease_grant,
+    lease_touch,
+    lease_drop,
+    changes
+};
 struct StateCall {
     CallId call = 0;
     StateVerb verb = StateVerb::get;
--- a/src/coordination/leader.cpp
+++ b/src/coordination/leader.cpp
@@ -91,7 +91,8 @@
         books.start_budget = [&core](const JobSpec& s) {
             double budget = s.deadline_s >= 0 ? std::max(0.0, s.deadline_s - s.estimate_s) : 600.0;
             for (const WaitAim& aim : core.platform.wait_aims) {
-                if (core.names.lanes.find(aim.lane) == s.lane) budget = std::min(budget, aim.within_s);
+                if (core.names.lanes.find(aim.lane) == s.lane)
+                    budget = std::min(budget, aim.within_s);
             }
             return to_ms(budget);
         };
@@ -175,6 +176,12 @@
         if (c.in_flight || now < c.retry_at) continue;
         due.emplace_back(job, index);
     }
+    // A placement tried and taken back leaves nothing to write.
+    std::erase_if(due, [&](const auto& d) {
+        if (!books.durable(d.first, d.second)) return false;
+        books.dirty.erase(d);
+        return true;
+    });
     for (auto [job, index] : due) write_chunk(now, job, index);
 }
 
@@ -189,7 +196,8 @@
     }
     Txn txn;
     std::string key = keys::chunk(j.spec.id, index);
-    txn.conditions = {{keys::kLeader, term_.token}, {keys::job(j.spec.id), j.stamp}, {key, c.stamp}};
+    txn.conditions = {
+        {keys::kLeader, term_.token}, {keys::job(j.spec.id), j.stamp}, {key, c.stamp}};
     txn.writes = {{key, encode_chunk(records), 0}};
     c.in_flight = true;
     ++writes_open_;
@@ -211,8 +219,10 @@
             }
             b.dirty.insert({job, index});
             chunk.retry_at = at + kRetry;
-            if (r.status == 409) spdlog::debug("write of {} found {} changed", key, fmt::join(r.failed, " "));
-            if (r.status != 409) return;  // the same conditions again: at most one copy takes effect
+            if (r.status == 409)
+                spdlog::debug("write of {} found {} changed", key, fmt::join(r.failed, " "));
+            if (r.status != 409)
+                return;  // the same conditions again: at most one copy takes effect
             for (const std::string& failed : r.failed) {
                 if (failed == keys::kLeader) {
                     term_.depose(at, "a write found another leader");
@@ -314,7 +324,8 @@
     term_.core.state.txn(Urgency::progress, std::move(txn),
                          [this, alive = std::weak_ptr<bool>(term_.alive), id,
                           left = std::move(left)](Ms, const StateReply& r) {
-                             if (alive.expired() || r.status != 200) return;  // the next term tidies
+                             if (alive.expired() || r.status != 200)
+                                 return;  // the next term tidies
                              drop_chunks(id, left);
                          });
 }
--- a/src/coordination/leader.hpp
+++ b/src/coordination/leader.hpp
@@ -2,8 +2,8 @@
 // It lives from election to deposition; nothing in it outlives its token.
 #pragma once
 
-#include "coordination/core.hpp"
 #include "coordination/cloud_dialogue.hpp"
+#include "coordination/core.hpp"
 #include "coordination/placer.hpp"
 #include "coordination/scaler.hpp"
 #include "coordination/worker_dialogue.hpp"
--- a/src/coordination/leadership.cpp
+++ b/src/coordination/leadership.cpp
@@ -35,33 +35,33 @@
             txn.writes = {{keys::kLeader,
                            encode_leader({core_.platform.node_name, core_.platform.incarnation}),
                            lease}};
-            core_.state.txn(
-                Urgency::leadership, std::move(txn),
-                [this, lease, sent, ttl](Ms then, const StateReply& t) {
-                    campaigning_ = false;
-                    if (t.status != 200) {
-                        // Lost, or unknown: without its lease a late copy of the write fails too.
-                        core_.state.lease_drop(lease, core_.out);
-                        campaign_at_ = then + 200 + core_.jitter(300);
-                        return;
-                    }
-                    if (t.revision <= known_token_) {
-                        core_.state.lease_drop(lease, core_.out);
-                        campaign_at_ = then + 200;
-                        return;
-                    }
-                    token_ = t.revision;
-                    known_token_ = token_;
-                    known_leader_ = core_.platform.node_name;
-                    lease_ = lease;
-                    // Counted from when it was asked for, less drift and a margin.
-                    valid_until_ = sent + ttl - ttl / 1000 - 200;
-                    touch_at_ = then + ttl / 4;
-                    touching_ = false;
-                    core_.state.set_leading(true);
-                    spdlog::info("elected leader with token {}", token_);
-                    if (on_elected) on_elected(then);
-                });
+            core_.state.txn(Urgency::leadership, std::move(txn),
+                            [this, lease, sent, ttl](Ms then, const StateReply& t) {
+                                campaigning_ = false;
+                                if (t.status != 200) {
+                                    // Lost, or unknown: without its lease a late copy of the write
+                                    // fails too.
+                                    core_.state.lease_drop(lease, core_.out);
+                                    campaign_at_ = then + 200 + core_.jitter(300);
+                                    return;
+                                }
+                                if (t.revision <= known_token_) {
+                                    core_.state.lease_drop(lease, core_.out);
+                                    campaign_at_ = then + 200;
+                                    return;
+                                }
+                                token_ = t.revision;
+                                known_token_ = token_;
+                                known_leader_ = core_.platform.node_name;
+                                lease_ = lease;
+                                // Counted from when it was asked for, less drift and a margin.
+                                valid_until_ = sent + ttl - ttl / 1000 - 200;
+                                touch_at_ = then + ttl / 4;
+                                touching_ = false;
+                                core_.state.set_leading(true);
+                                spdlog::info("elected leader with token {}", token_);
+                                if (on_elected) on_elected(then);
+                            });
         },
         core_.out);
 }
--- a/src/coordination/node.cpp
+++ b/src/coordination/node.cpp
@@ -36,9 +36,7 @@
                 depose_now_ = true;
                 deposed_why_ = why;
             };
-            leader_->term().refresh = [this](Ms when) {
-                keeper_.barrier(when, [](Ms, bool) {});
-            };
+            leader_->term().refresh = [this](Ms when) { keeper_.barrier(when, [](Ms, bool) {}); };
             set_rights(at);
         });
     };
--- a/src/coordination/node.hpp
+++ b/src/coordination/node.hpp
@@ -27,8 +27,8 @@
     struct PeerState {
         PeerFact last;
         Ms heard_at = -1;
-        Ms quiet_since = -1;  // it had not reached the state service from then...
-        Ms quiet_until = -1;  // ... until then, by our clock
+        Ms quiet_since = -1;               // it had not reached the state service from then...
+        Ms quiet_until = -1;               // ... until then, by our clock
         std::map<std::uint64_t, Ms> sent;  // our sequences -> when
     };
 
--- a/src/coordination/placer.cpp
+++ b/src/coordination/placer.cpp
@@ -3,8 +3,8 @@
 #include <spdlog/spdlog.h>
 
 #include <algorithm>
-#include <cmath>
 #include <chrono>
+#include <cmath>
 
 #include "coordination/leader.hpp"
 
@@ -29,8 +29,8 @@
     auto rank = [&](Id id) {
         const Job& j = books.jobs[id];
         return std::tuple{-static_cast<int>(j.spec.priority),
-                          books.within_guarantee(j.spec.team, j.spec.each) ? 0 : 1, j.start_by, j.born,
-                          id};
+                          books.within_guarantee(j.spec.team, j.spec.each) ? 0 : 1, j.start_by,
+                          j.born, id};
     };
     std::sort(order.begin(), order.end(), [&](Id a, Id b) { return rank(a) < rank(b); });
     return order;
@@ -99,21 +99,45 @@
 
 bool Placer::elsewhere(const JobSpec& one, const JobSpec& other) const {
     const Books& books = term_.books;
-    for (const Machine& e : books.machines) {
-        const Kind* k = books.kind(e.kind);
-        if (!e.held || e.gone || !k) continue;
-        if (Books::slots(one, e.kind, e.zone, e.spot, k->size) > 0 &&
-            Books::slots(other, e.kind, e.zone, e.spot, k->size) == 0) {
-            return true;
-        }
+    return std::any_of(sorts_.begin(), sorts_.end(), [&](const auto& sort) {
+        const auto& [kind, zone, spot] = sort;
+        const Kind* k = books.kind(kind);
+        return k && Books::slots(one, kind, zone, spot, k->size) > 0 &&
+               Books::slots(other, kind, zone, spot, k->size) == 0;
+    });
+}
+
+double Placer::aim_of(const JobSpec& s) const {
+    for (std::size_t i = 0; i < lane_aim_.size(); ++i) {
+        if (term_.books.shapes[i].lane == s.lane) return lane_aim_[i];
     }
-    return false;
+    return 1e18;
+}
+
+bool Placer::over_in_time(const JobSpec& s, const Machine& m, double fetch_s) const {
+    // Estimates are often wrong by half.
+    double span = fetch_s + 1.5 * s.estimate_s + 2 * term_.core.platform.report_s;
+    return !(s.gang && s.tasks > 1) && s.estimate_s > 0 && now_ + to_ms(span) <= m.kept_ready;
+}
+
+bool Placer::may_stop(const Job& v, const Job& j) const {
+    const Books& books = term_.books;
+    if (v.spec.gang && v.spec.tasks > 1) return false;
+    if (v.spec.priority >= j.spec.priority) return false;
+    // What a team runs within its guarantee need not make room for others.
+    if (v.spec.team != j.spec.team && books.within_guarantee(v.spec.team, Amounts{})) return false;
+    // Work that can run nowhere else only loses, unless nobody asked for it to start soon.
+    return elsewhere(v.spec, j.spec) || aim_of(v.spec) > aim_of(j.spec);
 }
 
 void Placer::count_slots(Ms now, const std::vector<Id>& usable) {
     const Books& books = term_.books;
     lane_slots_.assign(books.shapes.size(), 0);
     lane_aim_.assign(books.shapes.size(), 1e18);
+    sorts_.clear();
+    for (const Machine& m : books.machines) {
+        if (m.held && !m.gone) sorts_.insert({m.kind, m.zone, m.spot});
+    }
     for (std::size_t i = 0; i < books.shapes.size(); ++i) {
         for (const WaitAim& aim : term_.core.platform.wait_aims) {
             if (books.names.lanes.find(aim.lane) == books.shapes[i].lane) {
@@ -129,15 +153,16 @@
         for (Id id : usable) {
             const Machine& m = books.machines[id];
             if (const Kind* kind = books.kind(m.kind)) {
-                lane_slots_[i] += Books::slots(books.shapes[i].spec, m.kind, m.zone, m.spot,
-                                               kind->size - m.used);
+                lane_slots_[i] +=
+                    Books::slots(books.shapes[i].spec, m.kind, m.zone, m.spot, kind->size - m.used);
             }
         }
     }
 }
 
-Id Placer::choose(const Job& job, const std::vector<Id>& usable, Id zone_only) const {
+Id Placer::choose(Id job_id, const std::vector<Id>& usable, Id zone_only) const {
     const Books& books = term_.books;
+    const Job& job = books.jobs[job_id];
     const JobSpec& s = job.spec;
     using Score = std::tuple<int, double, int, double, Id>;
     Score best{9, 0, 0, 0, kNone};
@@ -153,15 +178,16 @@
         }
         const Kind* kind = books.kind(m.kind);
         if (!kind || !s.each.fits_in(kind->size - m.used)) continue;
-        if (m.kept_for != kNone && term_.books.find_job(s.id) != m.kept_for) continue;
-        if (kept(job, m, *kind)) continue;
-        // The order in which machines are tried: where this job hasn't failed, where the task starts
-        // soonest and other classes lose least room, spot first for those who may, then the fullest.
+        // The order in which machines are tried: where this job hasn't failed, where the task
+        // starts soonest and other classes lose least room, spot first for those who may, then the
+        // fullest.
         double fetch = 0;
         if (s.image != kNone && !m.images.count(s.image) && kind->fetch_gb_per_s > 0) {
             // Images fetched at the same time share the rate.
             fetch = s.image_gb / kind->fetch_gb_per_s * (1 + fetching(m));
         }
+        if (m.kept_for != kNone && m.kept_for != job_id && !over_in_time(s, m, fetch)) continue;
+        if (m.kept_for != job_id && kept(job, m, *kind)) continue;
         double wait = fetch + term_.core.policy.regret_s * regret(job, m, *kind);
         double left = kind->size.cpus > 0 ? (kind->size.cpus - m.used.cpus) / kind->size.cpus : 0;
         Score score{job.failed_on.count(id) || !m.error_jobs.empty() ? 1 : 0, std::round(wait / 2),
@@ -177,7 +203,7 @@
     while (placed < kMostPerJob && books.jobs[id].waiting() > 0) {
         Job& j = books.jobs[id];
         if (!books.within_limit(j.spec.team, j.spec.each)) break;
-        Id machine = choose(j, usable, kNone);
+        Id machine = choose(id, usable, kNone);
         if (machine == kNone) break;
         std::uint32_t index;
         if (!j.again.empty()) {
@@ -218,16 +244,26 @@
             }
         }
         // The zone that the best machine for one task lies in is tried first.
-        Id first = choose(books.jobs[id], usable, kNone);
+        Id first = choose(id, usable, kNone);
         if (first != kNone) {
             auto it = std::find(zones.begin(), zones.end(), books.machines[first].zone);
             if (it != zones.end()) std::iter_swap(zones.begin(), it);
         }
     }
     for (Id zone : zones) {
+        // A zone without places enough is seen without trying.
+        std::uint32_t places = 0;
+        for (Id id_m : usable) {
+            const Machine& m = books.machines[id_m];
+            const Kind* kind = books.kind(m.kind);
+            if (!kind || (zone != kNone && m.zone != zone)) continue;
+            if (m.kept_for != kNone && m.kept_for != id) continue;
+            places += Books::slots(s, m.kind, m.zone, m.spot, kind->size - m.used);
+        }
+        if (places < s.tasks) continue;
         std::vector<std::uint32_t> placed;
         for (std::uint32_t i = 0; i < s.tasks; ++i) {
-            Id machine = choose(books.jobs[id], usable, zone);
+            Id machine = choose(id, usable, zone);
             if (machine == kNone) break;
             take_slots(books.machines[machine], s.each);
             books.place({id, i}, machine, attempt, now);
@@ -236,6 +272,7 @@
         if (placed.size() == s.tasks) {
             books.jobs[id].again.clear();
             books.jobs[id].next_fresh = s.tasks;
+            gatherer_.release(id);
             spdlog::debug("{} attempt {}: all {} tasks placed", s.id, attempt, s.tasks);
             return true;
         }
@@ -268,21 +305,40 @@
         order_ = waiting_order(books, now);
         cursor_ = 0;
         blocked_.clear();
+        gathering_ = 0;
     }
+    now_ = now;
     count_slots(now, usable);
     // The budget keeps beats and leases answered in time when thousands of jobs wait.
     auto deadline = term_.core.stopwatch() + to_ms(term_.core.policy.round_budget_ms);
     while (cursor_ < order_.size()) {
         Id id = order_[cursor_++];
         Job& j = books.jobs[id];
-        if (j.alive && !j.cancelled && !j.ending && j.waiting() > 0 &&
-            !blocked_.count({j.spec.team, j.spec.priority})) {
+        if (j.alive && !j.cancelled && !j.ending && j.waiting() > 0) {
             // Who comes first waits for its team's limit; smaller tasks of the team that come later
             // would take every bit of it that frees up, and a large one would starve.
-            if (books.limit_room(j.spec.team, j.spec.each) < (j.spec.gang ? j.spec.tasks : 1)) {
-                blocked_.insert({j.spec.team, j.spec.priority});
-            } else if (j.spec.gang) {
-                place_gang(now, id, usable);
+            const JobSpec& s = j.spec;
+            std::uint32_t least = s.gang ? s.tasks : 1;
+            Blocked& blocked = blocked_[s.team];
+            auto rank = static_cast<int>(s.priority);
+            bool behind = (s.each.cpus > 0 && rank <= blocked.cpus) ||
+                          (s.each.gpus > 0 && rank <= blocked.gpus);
+            if (!behind && books.limit_room(s.team, s.each) < least) {
+                behind = true;
+                bool cpus = books.limit_room(s.team, {s.each.cpus, 0, 0}) < least;
+                bool gpus = books.limit_room(s.team, {0, s.each.gpus, 0}) < least;
+                if (cpus) blocked.cpus = std::max(blocked.cpus, rank);
+                if (gpus) blocked.gpus = std::max(blocked.gpus, rank);
+            }
+            if (behind) {
+                // Not before those it waits for.
+            } else if (s.gang) {
+                if (!place_gang(now, id, usable) && s.tasks > 1 && j.placed == 0 &&
+                    gathering_ < term_.core.policy.gather &&
+                    now >= j.waiting_since + to_ms(term_.core.policy.gather_after_s)) {
+                    auto stop = [this](const Job& v, const Job& job) { return may_stop(v, job); };
+                    gathering_ += gatherer_.gather(now, id, usable, stop);
+                }
             } else {
                 place_batch(now, id, usable);
             }
@@ -338,10 +394,12 @@
                 if (v.spec.priority >= s.priority && !beyond) continue;
                 // Work that can run nowhere else would only lose what it was doing.
                 if (!elsewhere(v.spec, s)) continue;
-                double ran = t.running_since < 0 ? 0 : static_cast<double>(now - t.running_since) / 1000.0;
+                double ran =
+                    t.running_since < 0 ? 0 : static_cast<double>(now - t.running_since) / 1000.0;
                 double cost = 1 + (v.spec.checkpoint_s > 0 ? v.spec.save_s : ran);
                 // One that is nearly over frees its room by itself.
-                if (t.running_since >= 0 && v.spec.estimate_s > 0 && ran > 0.8 * v.spec.estimate_s) {
+                if (t.running_since >= 0 && v.spec.estimate_s > 0 &&
+                    ran > 0.8 * v.spec.estimate_s) {
                     cost += v.spec.save_s;
                 }
                 victims.emplace_back(cost, ref);
@@ -375,9 +433,11 @@
         Machine& m = books.machines[best];
         double save = 0;
         for (TaskRef ref : best_victims) save = std::max(save, books.jobs[ref.job].spec.save_s);
-        spdlog::info("{} takes room on {}: {} tasks are stopped", s.id, m.name, best_victims.size());
+        spdlog::info("{} takes room on {}: {} tasks are stopped", s.id, m.name,
+                     best_victims.size());
         m.kept_for = id;
         m.kept_until = now + to_ms(save + 2 * term_.core.platform.report_s) + 3000;
+        m.kept_ready = now;
         for (TaskRef ref : best_victims) {
             fates_.halt(ref, books.jobs[ref.job].spec.save_s + 1, now, true);
         }
--- a/src/coordination/policy.hpp
+++ b/src/coordination/policy.hpp
@@ -32,6 +32,8 @@
     bool preempt = true;
     double preempt_after_s = 2;
     std::uint32_t keep_slots = 2;
+    std::uint32_t gather = 2;
+    double gather_after_s = 2;
     double regret_s = 20;
     std::string place_order = "aim";  // aim | age
 };
--- a/src/coordination/scaler.cpp
+++ b/src/coordination/scaler.cpp
@@ -74,9 +74,9 @@
         }
         n = static_cast<std::uint32_t>(std::min<double>(n, most));
         if (n == 0) continue;
-        bool fits_some = std::any_of(books.kinds().begin(), books.kinds().end(), [&](const Kind& k) {
-            return j.spec.allows_kind(k.id) && j.spec.each.fits_in(k.size);
-        });
+        bool fits_some = std::any_of(
+            books.kinds().begin(), books.kinds().end(),
+            [&](const Kind& k) { return j.spec.allows_kind(k.id) && j.spec.each.fits_in(k.size); });
         if (!fits_some) continue;
         more += j.spec.each * n;
         measure_.waiting += j.spec.each * n;
@@ -176,8 +176,8 @@
     if (measure_.value <= policy.mark_high || waiting_.empty()) return;
     int r = measure_.driving;
     double middle = (policy.mark_low + policy.mark_high) / 2;
-    double need = (measure_.booked.get(r) + measure_.waiting.get(r)) / middle -
-                  measure_.capacity.get(r);
+    double need =
+        (measure_.booked.get(r) + measure_.waiting.get(r)) / middle - measure_.capacity.get(r);
     for (const Option& o : options(nullptr, r, now, cloud)) {
         if (need <= 1e-6) break;
         double each = term_.books.kind(o.kind)->size.get(r);
@@ -218,7 +218,8 @@
                 }
                 if (per == 0) continue;
                 std::uint32_t n = (d.count + per - 1) / per;
-                n = rent(now, o, n, fmt::format("{} has {} tasks that fit nowhere", j.spec.id, d.count),
+                n = rent(now, o, n,
+                         fmt::format("{} has {} tasks that fit nowhere", j.spec.id, d.count),
                          cloud);
                 if (n == 0) continue;
                 for (std::uint32_t i = 0; i < n; ++i) rooms_.push_back(room);
@@ -235,10 +236,11 @@
 void Scaler::give_back(Ms now, CloudDialogue& cloud) {
     const Policy& policy = term_.core.policy;
     Books& books = term_.books;
-    // Singly, as the design says; at hundreds of machines several intervals may have passed since the
-    // last tick, and each of them is due its one machine.
+    // Singly, as the design says; at hundreds of machines several intervals may have passed since
+    // the last tick, and each of them is due its one machine.
     Ms interval = std::max<Ms>(1, to_ms(policy.in_interval_s));
-    auto due = static_cast<std::uint32_t>(std::clamp<Ms>((now - in_at_) / interval, 0, kTick / interval));
+    auto due =
+        static_cast<std::uint32_t>(std::clamp<Ms>((now - in_at_) / interval, 0, kTick / interval));
     if (due == 0) due = now >= in_at_ ? 1 : 0;
     if (due == 0) return;
     std::vector<Room> trial = rooms_;
@@ -248,8 +250,8 @@
         if (!r.taken.empty() && r.machine != kNone) wanted.insert(r.machine);
     }
     std::vector<std::pair<double, Id>> empty;
-    // Below the low mark one goes; above it only one that has stood empty for long: a measure held up
-    // by one resource says nothing of machines bought for another.
+    // Below the low mark one goes; above it only one that has stood empty for long: a measure held
+    // up by one resource says nothing of machines bought for another.
     bool below = measure_.value < policy.mark_low;
     for (Id id = 0; id < books.machines.size(); ++id) {
         Machine& m = books.machines[id];
--- a/src/coordination/scaler.hpp
+++ b/src/coordination/scaler.hpp
@@ -41,7 +41,7 @@
         bool spot = false;
         double price = 0;
         double cores = 0;
-        double cost = 0;    // price for what is short
+        double cost = 0;  // price for what is short
     };
 
     void tell(Ms now, const WorkerDialogue& workers);
--- a/src/coordination/state_desk.cpp
+++ b/src/coordination/state_desk.cpp
@@ -128,7 +128,8 @@
             StateCall c;
             c.verb = StateVerb::txn;
             c.txn = q.txn;
-            c.call = open({std::move(q.then), 0, std::pair{static_cast<Urgency>(u), std::move(q.txn)}});
+            c.call =
+                open({std::move(q.then), 0, std::pair{static_cast<Urgency>(u), std::move(q.txn)}});
             out.emplace_back(std::move(c));
         }
     }
--- a/src/coordination/user_desk.cpp
+++ b/src/coordination/user_desk.cpp
@@ -137,8 +137,7 @@
     bool fits = false;
     for (const Kind& k : core_.kinds) {
         if (!s.allows_kind(k.id) || !s.each.fits_in(k.size)) continue;
-        if (s.zone != kNone &&
-            std::find(k.zones.begin(), k.zones.end(), s.zone) == k.zones.end()) {
+        if (s.zone != kNone && std::find(k.zones.begin(), k.zones.end(), s.zone) == k.zones.end()) {
             continue;
         }
         fits = true;
@@ -191,8 +190,8 @@
     }
     if (!q.image_name.empty()) spec.image = core_.names.images.intern(q.image_name);
     // Sized so that a record with every task on another machine stays within a value.
-    spec.chunk = static_cast<std::uint32_t>(
-        std::clamp(core_.platform.value_kb * 1024.0 / 48.0, 4.0, 64.0));
+    spec.chunk =
+        static_cast<std::uint32_t>(std::clamp(core_.platform.value_kb * 1024.0 / 48.0, 4.0, 64.0));
     create(now, request, std::move(spec), 0);
 }
 
@@ -200,27 +199,28 @@
     Txn txn;
     txn.conditions = {{keys::job(spec.id), 0}, {keys::ended(spec.id), 0}};
     txn.writes = {{keys::job(spec.id), encode_job({spec, false}, core_.names), 0}};
-    core_.state.txn(
-        Urgency::accept, std::move(txn),
-        [this, request, spec = std::move(spec), tries](Ms at, const StateReply& r) {
-            if (!is_open(request)) return;
-            if (r.status == 200) {
-                UserAnswer a;
-                a.code = 201;
-                a.id = spec.id;
-                a.status = JobStatus::pending;
-                answer(request, std::move(a));
-            } else if (r.status == 409) {
-                // Accepted already: by another node, or by an earlier copy of this very write.
-                tell_fresh(at, request, spec.id, false,
-                           [this, request](Ms) { refuse(request, 503, "try again"); });
-            } else if (r.status == 0 && tries < 2) {
-                // May have happened. The same write again is harmless: it creates or finds the job.
-                create(at, request, spec, tries + 1);
-            } else {
-                refuse(request, 503, "the state service does not answer");
-            }
-        });
+    core_.state.txn(Urgency::accept, std::move(txn),
+                    [this, request, spec = std::move(spec), tries](Ms at, const StateReply& r) {
+                        if (!is_open(request)) return;
+                        if (r.status == 200) {
+                            UserAnswer a;
+                            a.code = 201;
+                            a.id = spec.id;
+                            a.status = JobStatus::pending;
+                            answer(request, std::move(a));
+                        } else if (r.status == 409) {
+                            // Accepted already: by another node, or by an earlier copy of this very
+                            // write.
+                            tell_fresh(at, request, spec.id, false,
+                                       [this, request](Ms) { refuse(request, 503, "try again"); });
+                        } else if (r.status == 0 && tries < 2) {
+                            // May have happened. The same write again is harmless: it creates or
+                            // finds the job.
+                            create(at, request, spec, tries + 1);
+                        } else {
+                            refuse(request, 503, "the state service does not answer");
+                        }
+                    });
 }
 
 void UserDesk::cancel(Ms now, const CancelRequest& q) {
--- a/src/coordination/worker_dialogue.cpp
+++ b/src/coordination/worker_dialogue.cpp
@@ -73,7 +73,8 @@
     if (new_session) m.images.clear();  // a new session may mean a new disk: count on nothing
     if (r.notice_s) {
         Ms until = now + to_ms(*r.notice_s);
-        if (m.notice_until < 0) spdlog::info("machine {} is taken in {:.1f} s", m.name, *r.notice_s);
+        if (m.notice_until < 0)
+            spdlog::info("machine {} is taken in {:.1f} s", m.name, *r.notice_s);
         m.notice_until = m.notice_until < 0 ? until : std::min(m.notice_until, until);
     }
 
@@ -134,7 +135,8 @@
                     task.inherited = false;
                 }
                 break;
-            default: break;
+            default:
+                break;
         }
     }
     return true;
@@ -155,7 +157,8 @@
         m.error_jobs.insert(ref.job);
         m.last_error = now;
         m.avoid_until = std::max(m.avoid_until, now + 3000);
-        j.not_before = std::max(j.not_before, now + 500 * static_cast<Ms>(std::min(j.failures, 20U)));
+        j.not_before =
+            std::max(j.not_before, now + 500 * static_cast<Ms>(std::min(j.failures, 20U)));
     }
     if (m.error_jobs.size() >= 2 && !m.sick) {
         m.sick = true;
@@ -312,14 +315,16 @@
         std::vector<Order> urgent;
         for (TaskRef ref : m.tasks) {
             Task& t = books.task(ref);
-            if (!t.halting || t.phase == Phase::placed || (t.halt_told >= 0 && now < t.halt_told + 2500)) {
+            if (!t.halting || t.phase == Phase::placed ||
+                (t.halt_told >= 0 && now < t.halt_told + 2500)) {
                 continue;
             }
-            urgent.push_back({OrderVerb::halt, books.jobs[ref.job].spec.id, ref.task, t.attempt,
-                              t.halt_grace});
+            urgent.push_back(
+                {OrderVerb::halt, books.jobs[ref.job].spec.id, ref.task, t.attempt, t.halt_grace});
         }
         if (!urgent.empty() && m.reported && !m.probing && now >= m.probe_at - 2400) {
-            for (const Order& o : urgent) books.task({books.find_job(o.job), o.task}).halt_told = now;
+            for (const Order& o : urgent)
+                books.task({books.find_job(o.job), o.task}).halt_told = now;
             send_direct(now, id, std::move(urgent));
         }
     }
--- a/src/protocol/settings_file.cpp
+++ b/src/protocol/settings_file.cpp
@@ -182,6 +182,7 @@
     };
     double cap = q.cap_per_kind;
     double keep = q.keep_slots;
+    double gather = q.gather;
     double permanent = q.permanent_first;
     double unplaceable = q.rent_unplaceable ? 1 : 0;
     double preempt = q.preempt ? 1 : 0;
@@ -205,6 +206,8 @@
         {"place.regret_s", {&q.regret_s, 0, 3600}},
         {"place.keep_slots", {&keep, 0, 1000}},
         {"place.preempt", {&preempt, 0, 1}},
+        {"place.gather", {&gather, 0, 1000}},
+        {"place.gather.after_s", {&q.gather_after_s, 0, 3600}},
         {"place.preempt.after_s", {&q.preempt_after_s, 0, 3600}},
         {"leader.lease_s", {&q.lease_ttl_s, 0.5, 600}},
         {"leader.probe_after_s", {&q.takeover_probe_s, 0.5, 600}},
@@ -251,6 +254,7 @@
         *it->second.value = v;
     }
     q.keep_slots = static_cast<std::uint32_t>(keep);
+    q.gather = static_cast<std::uint32_t>(gather);
     q.cap_per_kind = static_cast<std::uint32_t>(cap);
     q.permanent_first = static_cast<std::uint32_t>(permanent);
     q.rent_unplaceable = unplaceable != 0;
