Machines kept for a gang are not given back; silent ones kept 40 s past their lease

Cause: two joutsen standing empty for a gathering gang went back as idle; a cut of 35 s between zones had every machine of the other zone returned 29 s after it began.

--- a/src/coordination/gatherer.cpp
+++ b/src/coordination/gatherer.cpp
@@ -132,7 +132,13 @@
         }
     }
     release(id);
-    if (!best) return false;
+    if (!best) {
+        spdlog::debug("{} finds no zone with {} places, full or empty", j.spec.id, j.spec.tasks);
+        return false;
+    }
+    spdlog::debug("{} has machines kept in {}, ready in {:.1f} s", j.spec.id,
+                  books.names.zones.name(books.machines[best->slots.front().machine].zone),
+                  static_cast<double>(best->ready - now) / 1000.0);
     for (const Slot& slot : best->slots) {
         Machine& m = books.machines[slot.machine];
         m.kept_for = id;
--- a/src/coordination/policy.hpp
+++ b/src/coordination/policy.hpp
@@ -24,7 +24,7 @@
     double boot_give_up = 3.5;
     double boot_late = 1.7;
     double no_capacity_backoff_s = 4;
-    double lost_return_s = 15;
+    double lost_return_s = 40;
     double round_budget_ms = 4;
     double lease_ttl_s = 4;
     double takeover_probe_s = 5;
--- a/src/coordination/scaler.cpp
+++ b/src/coordination/scaler.cpp
@@ -258,7 +258,8 @@
         if (!m.tasks.empty()) m.idle_since = now;
         const Kind* kind = books.kind(m.kind);
         if (m.gone || !m.held || m.returning || m.permanent || !m.reported || !kind) continue;
-        if (!m.tasks.empty() || wanted.count(id)) continue;
+        // One that is kept for a gang stands empty until its mates are free.
+        if (!m.tasks.empty() || wanted.count(id) || m.kept_for != kNone) continue;
         double price = m.spot ? kind->spot_price : kind->price;
         double wasted = price / 3600.0 * static_cast<double>(now - m.idle_since) / 1000.0;
         bool idle = policy.idle_cost > 0 && wasted > policy.idle_cost;
