--- a/src/coordination/node.cpp
+++ b/src/coordination/node.cpp
@@ -17,6 +17,7 @@
 constexpr Ms kStandBack = 15000;  // ... and leaves the next elections to others for so long
 constexpr Ms kLetOthers = 3000;
 constexpr Ms kAlone = 4000;
+constexpr Ms kStayOut = 2500;
 }  // namespace
 
 Node::Node(Platform platform, Policy policy, std::uint64_t seed)
@@ -147,6 +148,8 @@
     }
     if (leader_) leader_->tick(now);
     if (now >= tell_at_) tell_peers(now);
+    // Each time it steps out the balancer waits twice as long: once out, it stays out a while.
+    if (refused_alone(now)) unready_until_ = now + kStayOut;
     bool is_ready = ready(now);
     if (is_ready != was_ready_) {
         was_ready_ = is_ready;
@@ -155,23 +158,23 @@
 }
 
 bool Node::ready(Ms now) const {
-    if (!keeper_.ready() || core_.kinds.empty()) return false;
-    if (alone(now)) return false;
-    // An outage that all nodes see takes no node out. One that is refused alone steps out: a peer
-    // tells that it is served.
-    if (core_.state.refused() < 3 || now - core_.state.last_reached() < 1500) return true;
-    for (const PeerState& p : peers_) {
-        if (p.heard_at < 0 || now - p.heard_at > 1500) continue;
-        if (p.last.state_quiet_ms >= 0 && p.last.state_quiet_ms + (now - p.heard_at) < 1500) {
-            return false;
-        }
-    }
-    return true;
+    return keeper_.ready() && !core_.kinds.empty() && now >= unready_until_ && !alone(now);
+}
+
+// An outage that all nodes see takes no node out. One that is refused alone steps out: a peer tells
+// that it is served.
+bool Node::refused_alone(Ms now) const {
+    if (core_.state.refused() < 3 || now - core_.state.last_reached() < 1500) return false;
+    return std::any_of(peers_.begin(), peers_.end(), [now](const PeerState& p) {
+        return p.heard_at >= 0 && now - p.heard_at <= 1500 && p.last.state_quiet_ms >= 0 &&
+               p.last.state_quiet_ms + (now - p.heard_at) < 1500;
+    });
 }
 
 // Cut off from its workers only, a leader would keep its lease while theirs run out.
 bool Node::out_of_reach(Ms now) const {
-    if (!leader_ || beat_at_ < 0 || now - beat_at_ < kNoBeats) return false;
+    // (A new leader has yet to be found by them: its own silence as a follower says nothing.)
+    if (!leader_ || now - std::max(beat_at_, leader_->term().elected_at) < kNoBeats) return false;
     return std::any_of(peers_.begin(), peers_.end(), [now](const PeerState& p) {
         return p.heard_at >= 0 && now - p.heard_at < 1500 && p.last.beat_quiet_ms >= 0 &&
                p.last.beat_quiet_ms < kNoBeats / 3;
--- a/src/coordination/node.hpp
+++ b/src/coordination/node.hpp
@@ -38,6 +38,7 @@
     void tell_peers(Ms now);
     bool out_of_reach(Ms now) const;
     bool alone(Ms now) const;
+    bool refused_alone(Ms now) const;
     Ms horizon() const;
     void set_rights(Ms now);
     void view_changed(Ms now, const std::string& key);
@@ -54,6 +55,7 @@
     Ms beat_at_ = -1;  // a worker last reported to this node
     std::uint64_t sequence_ = 0;
     bool was_ready_ = false;
+    Ms unready_until_ = 0;
     std::string deposed_why_;
     bool depose_now_ = false;
 };
