Gangs that have not begun: members that gave up alone run again, lost ones are replaced

Now the early member is cleared and run again with the same attempt where its image is, and a member lost before the start is replaced in 8 s.

--- a/src/bookkeeping/books.cpp
+++ b/src/bookkeeping/books.cpp
@@ -138,6 +138,7 @@
     t.state = TaskState::unknown;
     t.inherited = false;
     t.halting = false;
+    t.rerun = false;
     t.excused = false;
     t.halt_told = -1;
     t.running_since = -1;
--- a/src/bookkeeping/books.hpp
+++ b/src/bookkeeping/books.hpp
@@ -34,6 +34,7 @@
     bool c_done = false;
     bool inherited = false;  // placed by an earlier leader, not yet reported to this one
     bool halting = false;
+    bool rerun = false;      // ended for want of its mates: cleared and run again where it is
     bool excused = false;    // stopped for the fleet's sake: no blame on job or machine
     float halt_grace = 0;
     std::uint64_t sent_tick = 0;  // the beat whose answer carried `run`
@@ -76,6 +77,7 @@
     std::uint32_t failures = 0;
     Ms not_before = 0;
     Ms waiting_since = 0;
+    Ms replace_by = -1;  // gang: members lost before it began are to be replaced until then
 
     std::uint32_t waiting() const {
         return spec.tasks - next_fresh + static_cast<std::uint32_t>(again.size());
--- a/src/coordination/leader.cpp
+++ b/src/coordination/leader.cpp
@@ -12,7 +12,7 @@
 constexpr Ms kRetry = 250;
 }  // namespace
 
-void Fates::lost(TaskRef ref, Ms now, const char* why) {
+void Fates::lost(TaskRef ref, Ms now, const char* why, bool began) {
     Books& books = term_.books;
     Job& j = books.jobs[ref.job];
     Task& t = books.task(ref);
@@ -21,8 +21,27 @@
                   books.machines[t.machine].name, why);
     books.requeue(ref, now);
     term_.place_now = true;
-    // A gang that lost a task goes nowhere: the rest is stopped, and all start anew together.
-    if (j.spec.gang && j.spec.tasks > 1 && j.placed > 0) halt_job(ref.job, 0, now, true);
+    if (!j.spec.gang || j.spec.tasks <= 1 || j.placed == 0) return;
+    // A gang that has not begun keeps waiting, and a replacement with the same attempt completes it;
+    // one that has begun goes nowhere: the rest is stopped, and all start anew together.
+    if (!began && unbegun(ref.job)) {
+        if (j.replace_by < 0) j.replace_by = now + kReplaceFor;
+    } else {
+        halt_job(ref.job, 0, now, true);
+    }
+}
+
+bool Fates::unbegun(Id job) const {
+    const Job& j = term_.books.jobs[job];
+    for (const auto& chunk : j.chunks) {
+        if (!chunk) continue;
+        for (const Task& t : chunk->tasks) {
+            if (t.phase == Phase::done) return false;
+            if (t.machine == kNone) continue;
+            if (t.halting || t.state == TaskState::running || t.state == TaskState::saving) return false;
+        }
+    }
+    return true;
 }
 
 void Fates::machine_emptied(Id machine, Ms now, const char* why) {
--- a/src/coordination/leader.hpp
+++ b/src/coordination/leader.hpp
@@ -32,9 +32,16 @@
 // Takes what went wrong with a task, in one place for all who find it out.
 class Fates {
   public:
+    // Members lost before their gang began are replaced within this; it is well within the time that a
+    // gang waits for its last one.
+    static constexpr Ms kReplaceFor = 8000;
+
     explicit Fates(Term& term) : term_(term) {}
     // The task is proven gone without a result.
-    void lost(TaskRef ref, Ms now, const char* why);
+    // `began`: if it is of a gang, that had begun.
+    void lost(TaskRef ref, Ms now, const char* why, bool began = false);
+    // No member of the gang is known to run or to be stopped.
+    bool unbegun(Id job) const;
     // Everything on the machine is proven gone.
     void machine_emptied(Id machine, Ms now, const char* why);
     // Stops a task; one whose start was never sent is gone at once.
--- a/src/coordination/placer.cpp
+++ b/src/coordination/placer.cpp
@@ -222,6 +222,38 @@
     return placed;
 }
 
+// Members lost before their gang began, with the attempt of those that wait for them.
+void Placer::replace_members(Ms now, Id id, const std::vector<Id>& usable) {
+    Books& books = term_.books;
+    Job& j = books.jobs[id];
+    if (j.spec.tasks <= 1 || !fates_.unbegun(id)) return;
+    // (A new leader finds gangs with members missing, and gives them the same time.)
+    if (j.replace_by < 0) j.replace_by = now + Fates::kReplaceFor;
+    std::uint32_t attempt = 0;
+    for (std::uint32_t i = 0; i < j.spec.tasks; ++i) {
+        const Task& t = books.task({id, i});
+        if (t.machine != kNone) attempt = std::max(attempt, t.attempt);
+    }
+    while (!j.again.empty() && books.within_limit(j.spec.team, j.spec.each)) {
+        Id machine = choose(id, usable, kNone);
+        if (machine == kNone) break;
+        std::uint32_t index = j.again.front();
+        // Only this attempt's own: a member that has used a later one can't join.
+        if (books.task({id, index}).attempt > attempt) break;
+        j.again.pop_front();
+        take_slots(books.machines[machine], j.spec.each);
+        books.place({id, index}, machine, attempt, now);
+        spdlog::debug("{}/{} attempt {} replaced on {}", j.spec.id, index, attempt,
+                      books.machines[machine].name);
+    }
+    if (j.again.empty()) {
+        j.replace_by = -1;
+    } else if (now >= j.replace_by) {
+        j.replace_by = -1;
+        fates_.halt_job(id, 0, now, true);
+    }
+}
+
 bool Placer::place_gang(Ms now, Id id, const std::vector<Id>& usable) {
     Books& books = term_.books;
     const JobSpec& s = books.jobs[id].spec;
@@ -273,6 +305,7 @@
             books.jobs[id].again.clear();
             books.jobs[id].next_fresh = s.tasks;
             gatherer_.release(id);
+            books.jobs[id].replace_by = -1;
             spdlog::debug("{} attempt {}: all {} tasks placed", s.id, attempt, s.tasks);
             return true;
         }
@@ -318,7 +351,7 @@
             // Who comes first waits for its team's limit; smaller tasks of the team that come later
             // would take every bit of it that frees up, and a large one would starve.
             const JobSpec& s = j.spec;
-            std::uint32_t least = s.gang ? s.tasks : 1;
+            std::uint32_t least = s.gang && j.placed == 0 ? s.tasks : 1;
             Blocked& blocked = blocked_[s.team];
             auto rank = static_cast<int>(s.priority);
             bool behind = (s.each.cpus > 0 && rank <= blocked.cpus) ||
@@ -332,6 +365,8 @@
             }
             if (behind) {
                 // Not before those it waits for.
+            } else if (s.gang && j.placed > 0) {
+                replace_members(now, id, usable);
             } else if (s.gang) {
                 if (!place_gang(now, id, usable) && s.tasks > 1 && j.placed == 0 &&
                     gathering_ < term_.core.policy.gather &&
--- a/src/coordination/placer.hpp
+++ b/src/coordination/placer.hpp
@@ -22,6 +22,7 @@
 
   private:
     std::uint32_t place_batch(Ms now, Id job, const std::vector<Id>& usable);
+    void replace_members(Ms now, Id job, const std::vector<Id>& usable);
     bool place_gang(Ms now, Id job, const std::vector<Id>& usable);
     // The first machine, in this task's order, that fits; kNone if none does.
     Id choose(Id job, const std::vector<Id>& usable, Id zone_only) const;
--- a/src/coordination/worker_dialogue.cpp
+++ b/src/coordination/worker_dialogue.cpp
@@ -128,6 +128,7 @@
         mentioned.insert(ref);
         task.inherited = false;
         if (t.state == TaskState::exited) {
+            if (task.rerun && t.cause == "alone") continue;  // not cleared yet
             task_exited(now, ref, t);
             continue;
         }
@@ -247,6 +248,16 @@
     }
     spdlog::debug("{}/{} attempt {} ended on {}: {}{}", j.spec.id, ref.task, r.attempt, m.name,
                   r.cause, r.kept ? ", saved" : "");
+    if (r.cause == "alone" && !j.cancelled && fates_.unbegun(ref.job)) {
+        // Its mates still fetch their image (a large one takes longer than a gang waits): it waits for
+        // them once more, with its own in place.
+        t.rerun = true;
+        t.phase = Phase::placed;
+        t.state = TaskState::unknown;
+        t.inherited = false;
+        t.since = now;
+        return;
+    }
     bool excused = t.excused || t.halting || j.cancelled;
     if (r.cause == "error" && !excused) {
         spdlog::info("{}/{} failed on {}", j.spec.id, ref.task, m.name);
@@ -259,7 +270,8 @@
     } else if (r.cause == "unknown") {
         j.not_before = std::max(j.not_before, now + 3000);
     }
-    fates_.lost(ref, now, r.cause.c_str());
+    bool began = r.cause == "mates_gone" || r.cause == "error" || r.cause == "stopped";
+    fates_.lost(ref, now, r.cause.c_str(), began);
 }
 
 std::vector<Order> WorkerDialogue::orders(Ms now, Id id, const WorkerReport& r) {
@@ -293,6 +305,9 @@
                    r.token == term_.token && m.unheard < kDeafAfter) {
             // Only to one that shows our token: a late copy of a report from before our election gets
             // no order whose delivery would then be counted on.
+            // The worker takes a task and attempt once, unless it was cleared.
+            if (t.rerun) list.push_back({OrderVerb::clear, j.spec.id, ref.task, t.attempt, 0});
+            t.rerun = false;
             list.push_back({OrderVerb::run, j.spec.id, ref.task, t.attempt, 0});
             t.phase = Phase::sent;
             t.sent_tick = r.tick;
