--- a/src/coordination/core.hpp
+++ b/src/coordination/core.hpp
@@ -26,7 +26,6 @@
         pending_.erase(it);
         then(now, reply);
     }
-    std::size_t open_calls() const { return pending_.size(); }
 
   private:
     CallId next_ = 1;
--- a/src/coordination/scaler.cpp
+++ b/src/coordination/scaler.cpp
@@ -336,9 +336,10 @@
                             workers.usable(m, now) ? "" : "(not up)", m.tasks.size(), m.used.cpus,
                             m.used.gpus, m.used.ram);
     }
-    spdlog::debug("measure {:.2f} of {}, {} jobs wait, {} with tasks that fit nowhere;{}",
-                  std::min(measure_.value, 999.0), resource_name(measure_.driving), waiting_.size(),
-                  left_.size(), line);
+    spdlog::debug(
+        "measure {:.2f} of {}, {} jobs wait, {} with tasks that fit nowhere, {} writes queued;{}",
+        std::min(measure_.value, 999.0), resource_name(measure_.driving), waiting_.size(),
+        left_.size(), term_.core.state.queued(), line);
 }
 
 void Scaler::tick(Ms now, const WorkerDialogue& workers, CloudDialogue& cloud) {
--- a/src/coordination/state_desk.cpp
+++ b/src/coordination/state_desk.cpp
@@ -44,7 +44,7 @@
     c.key = keys::kRoot;
     c.after = after;
     c.wait_ms = wait;
-    c.call = open({std::move(then), 0, std::nullopt, wait > 0});
+    c.call = open({std::move(then)});
     out.emplace_back(std::move(c));
 }
 
@@ -89,8 +89,6 @@
     Pending p = std::move(it->second);
     pending_.erase(it);
     if (reply.status != 0 && reply.status != 503 && reply.status != 429) {
-        // A watch that was opened long ago proves nothing about when it was opened.
-        last_answered_ = std::max(last_answered_, p.watch ? last_answered_ : p.sent);
         last_reached_ = now;
         refused_ = 0;
     } else if (reply.status != 429) {
--- a/src/coordination/state_desk.hpp
+++ b/src/coordination/state_desk.hpp
@@ -33,8 +33,7 @@
     void pump(Ms now, Outputs& out);
     void set_leading(bool leading) { leading_ = leading; }
 
-    // When the service last answered anything but a refusal, by the time the call was made.
-    Ms last_answered() const { return last_answered_; }
+    // When the service last answered anything but a refusal.
     Ms last_reached() const { return last_reached_; }
     // Refusals or silences in a row.
     int refused() const { return refused_; }
@@ -45,7 +44,6 @@
         Then then = {};
         Ms sent = 0;
         std::optional<std::pair<Urgency, Txn>> txn = std::nullopt;
-        bool watch = false;
     };
     struct Queued {
         Txn txn;
@@ -63,7 +61,6 @@
     Ms refilled_ = 0;
     Ms held_until_ = 0;
     bool leading_ = false;
-    Ms last_answered_ = -1;
     Ms last_reached_ = -1;
     int refused_ = 0;
 };
