--- a/src/bookkeeping/books.cpp
+++ b/src/bookkeeping/books.cpp
@@ -256,8 +256,8 @@
     }
 }
 
-void Books::load_job(const JobView& view,
-                     const std::map<std::uint32_t, ChunkView>* chunks, Ms now) {
+void Books::load_job(const JobView& view, const std::map<std::uint32_t, ChunkView>* chunks,
+                     Ms now) {
     Id job = add_job(view, now);
     if (!chunks) return;
     Job& j = jobs[job];
@@ -289,9 +289,8 @@
         dirty.erase({job, index});
     }
     // What is neither done nor placed waits. Everything beyond the last known chunk is fresh.
-    std::uint32_t known = chunks->empty()
-                              ? 0
-                              : std::min(j.spec.tasks, (chunks->rbegin()->first + 1) * j.spec.chunk);
+    std::uint32_t known =
+        chunks->empty() ? 0 : std::min(j.spec.tasks, (chunks->rbegin()->first + 1) * j.spec.chunk);
     j.next_fresh = known;
     for (std::uint32_t i = 0; i < known; ++i) {
         if (task({job, i}).phase == Phase::idle) j.again.push_back(i);
--- a/src/bookkeeping/books.hpp
+++ b/src/bookkeeping/books.hpp
@@ -34,12 +34,12 @@
     bool c_done = false;
     bool inherited = false;  // placed by an earlier leader, not yet reported to this one
     bool halting = false;
-    bool rerun = false;      // ended for want of its mates: cleared and run again where it is
-    bool excused = false;    // stopped for the fleet's sake: no blame on job or machine
+    bool rerun = false;    // ended for want of its mates: cleared and run again where it is
+    bool excused = false;  // stopped for the fleet's sake: no blame on job or machine
     float halt_grace = 0;
     std::uint64_t sent_tick = 0;  // the beat whose answer carried `run`
     std::uint64_t sent_session = 0;
-    Ms since = 0;       // when the phase began
+    Ms since = 0;  // when the phase began
     Ms running_since = -1;
     Ms halt_told = -1;
 
@@ -60,22 +60,23 @@
     std::uint64_t stamp = 0;
     std::uint64_t born = 0;
     Ms known_since = 0;
-    Ms start_by = 0;       // when its class's aim, or its deadline, wants it started
+    Ms start_by = 0;  // when its class's aim, or its deadline, wants it started
     bool cancelled = false;
-    bool alive = true;     // false: this slot of the table is free
-    bool ending = false;   // the final record is being written
+    bool alive = true;    // false: this slot of the table is free
+    bool ending = false;  // the final record is being written
     Ms retry_at = 0;
     std::vector<std::unique_ptr<Chunk>> chunks;  // made when first needed
     std::uint32_t next_fresh = 0;
     std::deque<std::uint32_t> again;  // tasks to be placed once more
     std::uint32_t done = 0;
-    std::uint32_t placed = 0;         // counted on machines
+    std::uint32_t placed = 0;           // counted on machines
     std::map<Id, std::uint32_t> zones;  // placed tasks by zone
     // A job that fails everywhere was submitted with a mistake: it waits longer and longer.
     std::set<Id> failed_on;
     std::set<Id> refuted;  // machines it failed on that completed work of other jobs since
     std::uint32_t failures = 0;
     Ms not_before = 0;
+    int rank = 0;  // the priority it has risen to by waiting
     Ms waiting_since = 0;
     Ms replace_by = -1;  // gang: members lost before it began are to be replaced until then
 
@@ -113,41 +114,42 @@
     bool returning = false;  // marked before the cloud is asked; never used again
     bool gone = false;
     Ms known_since = 0;
-    Ms rented_at = 0;        // by our clock, as well as it is known
+    Ms rented_at = 0;  // by our clock, as well as it is known
     CloudStatus cloud = CloudStatus::unlisted;
     Ms last_listed = -1;
     Ms listed_since = -1;
     // What its worker told.
-    bool reported = false;   // to this leader
-    bool token_seen = false;   // its worker has seen our token: no older leader is obeyed
+    bool reported = false;    // to this leader
+    bool token_seen = false;  // its worker has seen our token: no older leader is obeyed
     Ms token_seen_at = -1;
     std::uint64_t session = 0;
     std::uint64_t tick = 0;
     // Answers that its later reports show it never took in. Reports may arrive where answers don't.
     std::uint64_t answered_session = 0;  // the last beat answered 200 ...
     std::uint64_t answered_tick = 0;
-    std::uint64_t told_token_tick = 0;   // ... and the first one: from then on it should show our token
-    std::uint32_t unheard = 0;           // in a row
+    std::uint64_t told_token_tick =
+        0;                      // ... and the first one: from then on it should show our token
+    std::uint32_t unheard = 0;  // in a row
     Ms deaf_since = -1;
-    bool rented_now = false;             // by this leader: no older one can have given it work
+    bool rented_now = false;  // by this leader: no older one can have given it work
     Ms last_beat = -1;
-    Ms last_ok = -1;         // when we last answered 200: its lease may count from there
-    bool lost = false;       // lease surely over and not heard of since
+    Ms last_ok = -1;                // when we last answered 200: its lease may count from there
+    bool lost = false;              // lease surely over and not heard of since
     std::uint64_t min_session = 0;  // reports of earlier sessions come from before it was lost
-    Ms notice_until = -1;    // spot: when the cloud takes it, by our clock
+    Ms notice_until = -1;           // spot: when the cloud takes it, by our clock
     // What we make of it.
     Amounts used;
     std::set<TaskRef> tasks;
-    std::map<Id, Ms> images;  // fetched for a task of ours -> last use
-    std::set<Id> error_jobs;  // jobs that failed here since the last success ...
+    std::map<Id, Ms> images;       // fetched for a task of ours -> last use
+    std::set<Id> error_jobs;       // jobs that failed here since the last success ...
     std::uint32_t error_done = 0;  // ... and have ended well elsewhere since
     std::size_t errors() const { return error_jobs.size() + error_done; }
     Ms last_error = -1;
     bool sick = false;
     Ms avoid_until = 0;
-    Id kept_for = kNone;     // room is being made here for this job ...
-    Ms kept_until = -1;      // ... and no other may take it until then ...
-    Ms kept_ready = -1;      // ... unless it is surely done before the room is complete
+    Id kept_for = kNone;  // room is being made here for this job ...
+    Ms kept_until = -1;   // ... and no other may take it until then ...
+    Ms kept_ready = -1;   // ... unless it is surely done before the room is complete
     Ms idle_since = 0;
     Ms probe_at = 0;
     bool probing = false;
@@ -205,8 +207,7 @@
     bool within_guarantee(Id team, const Amounts& more) const;
 
     // Adopts what an earlier leader wrote.
-    void load_job(const JobView& view,
-                  const std::map<std::uint32_t, ChunkView>* chunks, Ms now);
+    void load_job(const JobView& view, const std::map<std::uint32_t, ChunkView>* chunks, Ms now);
     void touch(TaskRef ref) { dirty.insert({ref.job, ref.task / jobs[ref.job].spec.chunk}); }
     std::vector<TaskRecord> snapshot(Id job, std::uint32_t chunk) const;
     // Does the durable record say what the books say?
--- a/src/bookkeeping/records.cpp
+++ b/src/bookkeeping/records.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <charconv>
 #include <map>
+#include <set>
 #include <tuple>
 
 namespace walkford {
@@ -78,7 +79,8 @@
         s.deadline_s = t.at(3).get<double>();
         if (v.contains("k")) {
             s.any_kind = false;
-            for (const Json& k : v["k"]) s.kinds.push_back(names.kinds.intern(k.get<std::string>()));
+            for (const Json& k : v["k"])
+                s.kinds.push_back(names.kinds.intern(k.get<std::string>()));
         }
         if (v.contains("z")) s.zone = names.zones.intern(v["z"].get<std::string>());
         if (v.contains("i")) {
@@ -183,30 +185,52 @@
 }
 }  // namespace
 
+// Rows: machines of one kind, zone, mark and name prefix; the first number, then the steps between
+// them, since a value of a few KiB is to hold hundreds. Kinds and zones by their place in two
+// lists.
 Json encode_registry(const Registry& r, const Names& names) {
-    // Machines of one kind, zone, mark and name prefix share a row; their numbers follow.
-    using Group = std::tuple<std::string, int, Id, Id, int>;
-    std::map<Group, Json> groups;
+    std::map<std::string, std::size_t> kinds, zones;
+    auto place = [](std::map<std::string, std::size_t>& list, const std::string& name) {
+        return list.try_emplace(name, list.size()).first->second;
+    };
+    using Group = std::tuple<std::string, int, std::size_t, std::size_t, int>;
+    std::map<Group, std::set<std::uint64_t>> groups;
     for (const Held& h : r.machines) {
         auto [prefix, width, number] = split_name(h.name);
         int flags = (h.spot ? 1 : 0) | (h.permanent ? 2 : 0) | (h.returning ? 4 : 0);
-        groups[{prefix, width, h.kind, h.zone, flags}].push_back(number);
+        groups[{prefix, width, place(kinds, names.kinds.name(h.kind)),
+                place(zones, names.zones.name(h.zone)), flags}]
+            .insert(number);
     }
-    Json v = Json::object();
-    v["n"] = r.next_hire;
-    v["f"] = r.first_rented ? 1 : 0;
     Json rows = Json::array();
-    for (auto& [g, numbers] : groups) {
+    for (const auto& [g, numbers] : groups) {
         const auto& [prefix, width, kind, zone, flags] = g;
-        rows.push_back(Json::array({prefix, width, names.kinds.name(kind), names.zones.name(zone),
-                                    flags, std::move(numbers)}));
+        Json steps = Json::array();
+        std::uint64_t last = 0;
+        for (std::uint64_t n : numbers) {
+            steps.push_back(n - last);
+            last = n;
+        }
+        rows.push_back(Json::array({prefix, width, kind, zone, flags, std::move(steps)}));
     }
-    v["m"] = std::move(rows);
     Json hires = Json::array();
     for (const Hire& h : r.hires) {
-        hires.push_back(Json::array({h.name, names.kinds.name(h.kind), names.zones.name(h.zone),
+        hires.push_back(Json::array({h.name, place(kinds, names.kinds.name(h.kind)),
+                                     place(zones, names.zones.name(h.zone)),
                                      (h.spot ? 1 : 0) | (h.permanent ? 2 : 0), h.count}));
     }
+    auto listed = [](const std::map<std::string, std::size_t>& list) {
+        Json v = Json::array();
+        for (std::size_t i = 0; i < list.size(); ++i) v.push_back("");
+        for (const auto& [name, at] : list) v[at] = name;
+        return v;
+    };
+    Json v = Json::object();
+    v["n"] = r.next_hire;
+    v["f"] = r.first_rented ? 1 : 0;
+    v["k"] = listed(kinds);
+    v["z"] = listed(zones);
+    v["m"] = std::move(rows);
     v["h"] = std::move(hires);
     return v;
 }
@@ -216,22 +240,29 @@
         Registry r;
         r.next_hire = v.at("n").get<std::uint64_t>();
         r.first_rented = v.at("f").get<int>() != 0;
+        // Before 0.2 a row held the names themselves and the numbers in full.
+        bool listed = v.contains("k");
+        auto name = [&](const char* list, const Json& at) {
+            return listed ? v.at(list).at(at.get<std::size_t>()).get<std::string>()
+                          : at.get<std::string>();
+        };
         for (const Json& row : v.at("m")) {
             auto prefix = row.at(0).get<std::string>();
             int width = row.at(1).get<int>();
-            Id kind = names.kinds.intern(row.at(2).get<std::string>());
-            Id zone = names.zones.intern(row.at(3).get<std::string>());
+            Id kind = names.kinds.intern(name("k", row.at(2)));
+            Id zone = names.zones.intern(name("z", row.at(3)));
             int flags = row.at(4).get<int>();
+            std::uint64_t last = 0;
             for (const Json& number : row.at(5)) {
-                r.machines.push_back({join_name(prefix, width, number.get<std::uint64_t>()), kind,
-                                      zone, (flags & 1) != 0, (flags & 2) != 0, (flags & 4) != 0});
+                last = number.get<std::uint64_t>() + (listed ? last : 0);
+                r.machines.push_back({join_name(prefix, width, last), kind, zone, (flags & 1) != 0,
+                                      (flags & 2) != 0, (flags & 4) != 0});
             }
         }
         for (const Json& h : v.at("h")) {
             int flags = h.at(3).get<int>();
-            r.hires.push_back({h.at(0).get<std::string>(),
-                               names.kinds.intern(h.at(1).get<std::string>()),
-                               names.zones.intern(h.at(2).get<std::string>()), (flags & 1) != 0,
+            r.hires.push_back({h.at(0).get<std::string>(), names.kinds.intern(name("k", h.at(1))),
+                               names.zones.intern(name("z", h.at(2))), (flags & 1) != 0,
                                h.at(4).get<std::uint32_t>(), (flags & 2) != 0});
         }
         return r;
@@ -245,9 +276,9 @@
     for (const Kind& k : kinds) {
         Json zones = Json::array();
         for (Id z : k.zones) zones.push_back(names.zones.name(z));
-        v.push_back(Json::array({names.kinds.name(k.id), k.size.cpus, k.size.gpus, k.size.ram,
-                                 k.cache_gb, k.fetch_gb_per_s, k.price, k.spot_price, k.boot_s,
-                                 std::move(zones)}));
+        v.push_back(
+            Json::array({names.kinds.name(k.id), k.size.cpus, k.size.gpus, k.size.ram, k.cache_gb,
+                         k.fetch_gb_per_s, k.price, k.spot_price, k.boot_s, std::move(zones)}));
     }
     return v;
 }
@@ -264,7 +295,8 @@
             k.price = row.at(6).get<double>();
             k.spot_price = row.at(7).get<double>();
             k.boot_s = row.at(8).get<double>();
-            for (const Json& z : row.at(9)) k.zones.push_back(names.zones.intern(z.get<std::string>()));
+            for (const Json& z : row.at(9))
+                k.zones.push_back(names.zones.intern(z.get<std::string>()));
             kinds.push_back(std::move(k));
         }
     } catch (const Json::exception&) {
@@ -278,7 +310,8 @@
 }
 std::optional<LeaderRecord> decode_leader(const Json& v) {
     try {
-        return LeaderRecord{v.at("node").get<std::string>(), v.at("incarnation").get<std::string>()};
+        return LeaderRecord{v.at("node").get<std::string>(),
+                            v.at("incarnation").get<std::string>()};
     } catch (const Json::exception&) {
         return std::nullopt;
     }
--- a/src/bookkeeping/types.hpp
+++ b/src/bookkeeping/types.hpp
@@ -35,21 +35,16 @@
     }
     friend Amounts operator+(Amounts a, const Amounts& b) { return a += b; }
     friend Amounts operator-(Amounts a, const Amounts& b) { return a -= b; }
-    friend Amounts operator*(Amounts a, double f) {
-        return {a.cpus * f, a.gpus * f, a.ram * f};
-    }
+    friend Amounts operator*(Amounts a, double f) { return {a.cpus * f, a.gpus * f, a.ram * f}; }
     // Sums of decimals wander in the last bits; a millionth is not a resource.
     bool fits_in(const Amounts& room) const {
         constexpr double kSlack = 1e-6;
-        return cpus <= room.cpus + kSlack && gpus <= room.gpus + kSlack &&
-               ram <= room.ram + kSlack;
+        return cpus <= room.cpus + kSlack && gpus <= room.gpus + kSlack && ram <= room.ram + kSlack;
     }
     double get(int resource) const { return resource == 0 ? cpus : resource == 1 ? ram : gpus; }
 };
 inline constexpr int kResources = 3;  // cores, memory, GPUs: the order of Amounts::get
-inline const char* resource_name(int r) {
-    return r == 0 ? "cores" : r == 1 ? "memory" : "gpus";
-}
+inline const char* resource_name(int r) { return r == 0 ? "cores" : r == 1 ? "memory" : "gpus"; }
 
 // Names to dense indices; an index is never reused.
 class Interner {
--- a/src/bookkeeping/view.cpp
+++ b/src/bookkeeping/view.cpp
@@ -158,7 +158,8 @@
             }
         }
         if (auto m = chunk.value.find("m"); m != chunk.value.end()) {
-            for (const Json& tasks : *m) counts.running += static_cast<std::uint32_t>(tasks.size() / 2);
+            for (const Json& tasks : *m)
+                counts.running += static_cast<std::uint32_t>(tasks.size() / 2);
         }
     }
     return counts;
--- a/src/bookkeeping/view.hpp
+++ b/src/bookkeeping/view.hpp
@@ -4,8 +4,8 @@
 
 #include <list>
 #include <map>
-#include <set>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
 
--- a/src/coordination/leader.cpp
+++ b/src/coordination/leader.cpp
@@ -22,8 +22,8 @@
     books.requeue(ref, now);
     term_.place_now = true;
     if (!j.spec.gang || j.spec.tasks <= 1 || j.placed == 0) return;
-    // A gang that has not begun keeps waiting, and a replacement with the same attempt completes it;
-    // one that has begun goes nowhere: the rest is stopped, and all start anew together.
+    // A gang that has not begun keeps waiting, and a replacement with the same attempt completes
+    // it; one that has begun goes nowhere: the rest is stopped, and all start anew together.
     if (!began && unbegun(ref.job)) {
         if (j.replace_by < 0) j.replace_by = now + kReplaceFor;
     } else {
@@ -38,7 +38,8 @@
         for (const Task& t : chunk->tasks) {
             if (t.phase == Phase::done) return false;
             if (t.machine == kNone) continue;
-            if (t.halting || t.state == TaskState::running || t.state == TaskState::saving) return false;
+            if (t.halting || t.state == TaskState::running || t.state == TaskState::saving)
+                return false;
         }
     }
     return true;
--- a/src/coordination/leader.hpp
+++ b/src/coordination/leader.hpp
@@ -32,8 +32,8 @@
 // Takes what went wrong with a task, in one place for all who find it out.
 class Fates {
   public:
-    // Members lost before their gang began are replaced within this; it is well within the time that a
-    // gang waits for its last one.
+    // Members lost before their gang began are replaced within this; it is well within the time
+    // that a gang waits for its last one.
     static constexpr Ms kReplaceFor = 8000;
 
     explicit Fates(Term& term) : term_(term) {}
--- a/src/coordination/placer.cpp
+++ b/src/coordination/placer.cpp
@@ -17,7 +17,17 @@
 constexpr std::uint32_t kMostPerJob = 256;
 }  // namespace
 
-std::vector<Id> Placer::waiting_order(const Books& books, Ms now) {
+// One that has not begun rises by a priority each time it has waited so long again: strict priority
+// would let the lowest wait for ever while higher work keeps coming.
+int Placer::risen(const Job& j, Ms now, double rise_s) {
+    int own = std::max(static_cast<int>(j.spec.priority), j.rank);
+    if (rise_s <= 0 || j.placed > 0 || j.done > 0) return own;
+    return std::clamp(static_cast<int>(j.spec.priority) +
+                          static_cast<int>((now - j.waiting_since) / to_ms(rise_s)),
+                      own, 4);
+}
+
+std::vector<Id> Placer::waiting_order(const Books& books, Ms now, double rise_s) {
     std::vector<Id> order;
     for (Id id = 0; id < books.jobs.size(); ++id) {
         const Job& j = books.jobs[id];
@@ -28,7 +38,7 @@
     // Guarantee demand goes before borrowed of the same priority; then age.
     auto rank = [&](Id id) {
         const Job& j = books.jobs[id];
-        return std::tuple{-static_cast<int>(j.spec.priority),
+        return std::tuple{-risen(j, now, rise_s),
                           books.within_guarantee(j.spec.team, j.spec.each) ? 0 : 1, j.start_by,
                           j.born, id};
     };
@@ -123,7 +133,9 @@
 bool Placer::may_stop(const Job& v, const Job& j) const {
     const Books& books = term_.books;
     if (v.spec.gang && v.spec.tasks > 1) return false;
-    if (v.spec.priority >= j.spec.priority) return false;
+    if (std::max(static_cast<int>(v.spec.priority), v.rank) >= static_cast<int>(j.spec.priority)) {
+        return false;
+    }
     // What a team runs within its guarantee need not make room for others.
     if (v.spec.team != j.spec.team && books.within_guarantee(v.spec.team, Amounts{})) return false;
     // Work that can run nowhere else only loses, unless nobody asked for it to start soon.
@@ -335,7 +347,7 @@
         }
     }
     if (cursor_ >= order_.size()) {
-        order_ = waiting_order(books, now);
+        order_ = waiting_order(books, now, term_.core.policy.rise_s);
         cursor_ = 0;
         blocked_.clear();
         gathering_ = 0;
@@ -351,6 +363,8 @@
             // Who comes first waits for its team's limit; smaller tasks of the team that come later
             // would take every bit of it that frees up, and a large one would starve.
             const JobSpec& s = j.spec;
+            // What it has risen to it keeps, or it would be stopped again as soon as it began.
+            j.rank = risen(j, now, term_.core.policy.rise_s);
             std::uint32_t least = s.gang && j.placed == 0 ? s.tasks : 1;
             Blocked& blocked = blocked_[s.team];
             auto rank = static_cast<int>(s.priority);
@@ -426,7 +440,10 @@
                 const Team* team = books.team(v.spec.team);
                 bool beyond = guaranteed && team && v.spec.team != s.team &&
                               !books.within_guarantee(v.spec.team, Amounts{});
-                if (v.spec.priority >= s.priority && !beyond) continue;
+                if (std::max(static_cast<int>(v.spec.priority), v.rank) >=
+                        static_cast<int>(s.priority) &&
+                    !beyond)
+                    continue;
                 // Work that can run nowhere else would only lose what it was doing.
                 if (!elsewhere(v.spec, s)) continue;
                 double ran =
--- a/src/coordination/placer.hpp
+++ b/src/coordination/placer.hpp
@@ -18,7 +18,8 @@
     void round(Ms now, const WorkerDialogue& workers);
 
     // The waiting jobs in the order in which they are served.
-    static std::vector<Id> waiting_order(const Books& books, Ms now);
+    static int risen(const Job& j, Ms now, double rise_s);
+    static std::vector<Id> waiting_order(const Books& books, Ms now, double rise_s);
 
   private:
     std::uint32_t place_batch(Ms now, Id job, const std::vector<Id>& usable);
--- a/src/coordination/policy.hpp
+++ b/src/coordination/policy.hpp
@@ -33,6 +33,7 @@
     bool preempt = true;
     double preempt_after_s = 2;
     std::uint32_t keep_slots = 2;
+    double rise_s = 100;
     std::uint32_t gather = 2;
     double gather_after_s = 2;
     double regret_s = 20;
--- a/src/coordination/scaler.cpp
+++ b/src/coordination/scaler.cpp
@@ -50,7 +50,7 @@
     std::map<Id, Amounts> extra;
     std::set<Id> blocked;
     std::uint32_t tasks = 0;
-    for (Id id : Placer::waiting_order(books, now)) {
+    for (Id id : Placer::waiting_order(books, now, policy.rise_s)) {
         const Job& j = books.jobs[id];
         const Team* team = books.team(j.spec.team);
         if (!team) continue;
@@ -91,9 +91,9 @@
     }
 }
 
-// A trial packing of what waits on what is there or on its way; what is left needs machines. Tasks that
-// must share a zone are counted zone by zone (places in two zones complete no gang), and those that
-// must be spread up to what each zone may hold.
+// A trial packing of what waits on what is there or on its way; what is left needs machines. Tasks
+// that must share a zone are counted zone by zone (places in two zones complete no gang), and those
+// that must be spread up to what each zone may hold.
 std::vector<Scaler::Demand> Scaler::unplaceable(std::vector<Room>& rooms) const {
     const Books& books = term_.books;
     std::vector<Demand> left;
@@ -115,7 +115,8 @@
             if (s.spread) most = std::min(n, s.zone_most() - std::min(had, s.zone_most()));
             std::uint32_t sum = 0;
             for (const Room& r : rooms) {
-                if (r.zone == zone && sum < most) sum += Books::slots(s, r.kind, r.zone, r.spot, r.free);
+                if (r.zone == zone && sum < most)
+                    sum += Books::slots(s, r.kind, r.zone, r.spot, r.free);
             }
             if (most > 0) places.emplace_back(std::min(sum, most), zone);
         }
@@ -133,7 +134,8 @@
                 n -= take;
                 std::uint32_t unpacked = take;
                 pack(s, d.job, zone, unpacked, rooms);
-                if (s.zone_most() > had + take) rest.ways.emplace_back(zone, s.zone_most() - had - take);
+                if (s.zone_most() > had + take)
+                    rest.ways.emplace_back(zone, s.zone_most() - had - take);
             }
             for (auto& way : rest.ways) way.second = std::min(way.second, n);
         }
@@ -268,7 +270,8 @@
         std::uint32_t per = Books::slots(j.spec, o.kind, o.zone, o.spot, kind->size);
         if (per == 0) continue;
         std::uint32_t n = (count + per - 1) / per;
-        n = rent(now, o, n, fmt::format("{} has {} tasks that fit nowhere", j.spec.id, count), cloud);
+        n = rent(now, o, n, fmt::format("{} has {} tasks that fit nowhere", j.spec.id, count),
+                 cloud);
         if (n == 0) continue;
         for (std::uint32_t i = 0; i < n; ++i) {
             rooms_.push_back({kind->size, o.kind, o.zone, o.spot, kNone, {}});
--- a/src/coordination/scaler.hpp
+++ b/src/coordination/scaler.hpp
@@ -34,7 +34,8 @@
     struct Demand {  // waiting tasks of one job that the team's limit admits
         Id job = kNone;
         std::uint32_t count = 0;
-        // Once tried: zone and how many more places there would do, the least first; kNone: any zone.
+        // Once tried: zone and how many more places there would do, the least first; kNone: any
+        // zone.
         std::vector<std::pair<Id, std::uint32_t>> ways = {};
     };
     struct Option {
--- a/src/coordination/worker_dialogue.cpp
+++ b/src/coordination/worker_dialogue.cpp
@@ -9,7 +9,7 @@
 namespace {
 constexpr Ms kLeaseMargin = 1200;
 constexpr std::uint32_t kDeafAfter = 2;  // answers not taken in, in a row: it gets nothing more
-}
+}  // namespace
 
 bool WorkerDialogue::usable(const Machine& m, Ms now) const {
     Ms fresh = to_ms(term_.core.platform.report_s * 2.0) + 1500;
@@ -46,20 +46,21 @@
         m.answered_session = r.session;
         m.answered_tick = r.tick;
     }
-    // Also for a copy that came late: whoever asked may get this answer, and its lease counts from it.
+    // Also for a copy that came late: whoever asked may get this answer, and its lease counts from
+    // it.
     m.last_ok = now;
     term_.core.out.emplace_back(std::move(a));
 }
 
 // A machine has one report open at a time, so a later one shows what became of the answer before:
-// a token it should have seen and does not show, a session that ended although we answered, a task it
-// was told to run and does not have (see take). One lost packet is no more than that; several in a row
-// mean that our answers don't arrive.
+// a token it should have seen and does not show, a session that ended although we answered, a task
+// it was told to run and does not have (see take). One lost packet is no more than that; several in
+// a row mean that our answers don't arrive.
 void WorkerDialogue::listen(Ms now, Machine& m, const WorkerReport& r) {
     if (m.answered_tick == 0) return;
-    bool missed = (r.token < term_.token && r.tick > m.told_token_tick) ||
-                  (r.session > m.answered_session &&
-                   now < m.last_ok + to_ms(term_.core.platform.lease_s));
+    bool missed =
+        (r.token < term_.token && r.tick > m.told_token_tick) ||
+        (r.session > m.answered_session && now < m.last_ok + to_ms(term_.core.platform.lease_s));
     if (missed) {
         unheard(now, m);
     } else if (r.token == term_.token && !m.token_seen) {
@@ -114,7 +115,8 @@
         }
         m.notice_until = m.notice_until < 0 ? until : std::min(m.notice_until, until);
     } else {
-        // The newest report counts: an old copy's notice, heard first by a new leader, is not for ever.
+        // The newest report counts: an old copy's notice, heard first by a new leader, is not for
+        // ever.
         m.notice_until = -1;
     }
 
@@ -126,6 +128,7 @@
         Task& task = books.task(ref);
         if (task.machine != id || task.attempt != t.attempt) continue;
         mentioned.insert(ref);
+        if (task.phase == Phase::sent && under_us && !task.rerun) heard(m);
         task.inherited = false;
         if (t.state == TaskState::exited) {
             if (task.rerun && t.cause == "alone") continue;  // not cleared yet
@@ -133,7 +136,6 @@
             continue;
         }
         if (task.phase != Phase::seen) {
-            if (task.phase == Phase::sent && under_us) heard(m);
             task.phase = Phase::seen;
             task.since = now;
         }
@@ -144,7 +146,7 @@
     }
 
     if (!under_us) return true;  // an older leader may still be obeyed: absence proves nothing
-    bool told = false;  // one answer lost is counted once, however many orders it held
+    bool told = false;           // one answer lost is counted once, however many orders it held
     std::vector<TaskRef> here(m.tasks.begin(), m.tasks.end());
     for (TaskRef ref : here) {
         if (mentioned.count(ref)) continue;
@@ -189,11 +191,11 @@
     return true;
 }
 
-// Who is to blame, the job or the machine? A job with a mistake fails everywhere: it is blamed once two
-// machines that it failed on have completed work of others since. Until then the machine is, and two
-// jobs that fail there, with nothing completed between, are enough. (A job was once excused of blaming
-// anyone when it had failed on two machines; with one machine in six sick, every gang had, and the sick
-// ones were never found.)
+// Who is to blame, the job or the machine? A job with a mistake fails everywhere: it is blamed once
+// two machines that it failed on have completed work of others since. Until then the machine is,
+// and two jobs that fail there, with nothing completed between, are enough. (A job was once excused
+// of blaming anyone when it had failed on two machines; with one machine in six sick, every gang
+// had, and the sick ones were never found.)
 void WorkerDialogue::blame(Ms now, TaskRef ref, Id machine) {
     Books& books = term_.books;
     Job& j = books.jobs[ref.job];
@@ -249,8 +251,8 @@
     spdlog::debug("{}/{} attempt {} ended on {}: {}{}", j.spec.id, ref.task, r.attempt, m.name,
                   r.cause, r.kept ? ", saved" : "");
     if (r.cause == "alone" && !j.cancelled && fates_.unbegun(ref.job)) {
-        // Its mates still fetch their image (a large one takes longer than a gang waits): it waits for
-        // them once more, with its own in place.
+        // Its mates still fetch their image (a large one takes longer than a gang waits): it waits
+        // for them once more, with its own in place.
         t.rerun = true;
         t.phase = Phase::placed;
         t.state = TaskState::unknown;
@@ -303,9 +305,9 @@
         } else if (t.phase == Phase::placed && !t.halting && !t.inherited && term_.act &&
                    !j.cancelled && t.durable_here() && m.confirmed && !m.returning &&
                    r.token == term_.token && m.unheard < kDeafAfter) {
-            // Only to one that shows our token: a late copy of a report from before our election gets
-            // no order whose delivery would then be counted on.
-            // The worker takes a task and attempt once, unless it was cleared.
+            // Only to one that shows our token: a late copy of a report from before our election
+            // gets no order whose delivery would then be counted on. The worker takes a task and
+            // attempt once, unless it was cleared.
             if (t.rerun) list.push_back({OrderVerb::clear, j.spec.id, ref.task, t.attempt, 0});
             t.rerun = false;
             list.push_back({OrderVerb::run, j.spec.id, ref.task, t.attempt, 0});
@@ -370,9 +372,10 @@
         }
         // Not heard under our token: an older leader may still answer it, so it is shown ours.
         // (A report under an older token may be a late copy: it does not stand for the machine.)
-        bool unseen = !m.token_seen &&
-                      now > std::max(term_.elected_at, m.last_beat) + to_ms(policy.takeover_probe_s) &&
-                      (!m.tasks.empty() || m.cloud == CloudStatus::running);
+        bool unseen =
+            !m.token_seen &&
+            now > std::max(term_.elected_at, m.last_beat) + to_ms(policy.takeover_probe_s) &&
+            (!m.tasks.empty() || m.cloud == CloudStatus::running);
         if (unseen && !m.probing && now >= m.probe_at) send_direct(now, id, {});
 
         if (m.notice_until >= 0) {
--- a/src/protocol/pack.cpp
+++ b/src/protocol/pack.cpp
@@ -8,13 +8,25 @@
 
 bool convert(const msgpack::object& o, Json& out) {
     switch (o.type) {
-        case msgpack::type::NIL: out = nullptr; return true;
-        case msgpack::type::BOOLEAN: out = o.via.boolean; return true;
-        case msgpack::type::POSITIVE_INTEGER: out = o.via.u64; return true;
-        case msgpack::type::NEGATIVE_INTEGER: out = o.via.i64; return true;
+        case msgpack::type::NIL:
+            out = nullptr;
+            return true;
+        case msgpack::type::BOOLEAN:
+            out = o.via.boolean;
+            return true;
+        case msgpack::type::POSITIVE_INTEGER:
+            out = o.via.u64;
+            return true;
+        case msgpack::type::NEGATIVE_INTEGER:
+            out = o.via.i64;
+            return true;
         case msgpack::type::FLOAT32:
-        case msgpack::type::FLOAT64: out = o.via.f64; return true;
-        case msgpack::type::STR: out = std::string(o.via.str.ptr, o.via.str.size); return true;
+        case msgpack::type::FLOAT64:
+            out = o.via.f64;
+            return true;
+        case msgpack::type::STR:
+            out = std::string(o.via.str.ptr, o.via.str.size);
+            return true;
         case msgpack::type::ARRAY: {
             out = Json::array();
             auto& list = out.get_ref<Json::array_t&>();
@@ -36,7 +48,8 @@
             }
             return true;
         }
-        default: return false;  // binary and extensions are not part of the protocol
+        default:
+            return false;  // binary and extensions are not part of the protocol
     }
 }
 
@@ -53,12 +66,24 @@
             p.pack_array(static_cast<std::uint32_t>(v.size()));
             for (const Json& item : v) write(p, item);
             break;
-        case Json::value_t::string: p.pack(v.get_ref<const std::string&>()); break;
-        case Json::value_t::boolean: p.pack(v.get<bool>()); break;
-        case Json::value_t::number_integer: p.pack(v.get<std::int64_t>()); break;
-        case Json::value_t::number_unsigned: p.pack(v.get<std::uint64_t>()); break;
-        case Json::value_t::number_float: p.pack(v.get<double>()); break;
-        default: p.pack_nil(); break;
+        case Json::value_t::string:
+            p.pack(v.get_ref<const std::string&>());
+            break;
+        case Json::value_t::boolean:
+            p.pack(v.get<bool>());
+            break;
+        case Json::value_t::number_integer:
+            p.pack(v.get<std::int64_t>());
+            break;
+        case Json::value_t::number_unsigned:
+            p.pack(v.get<std::uint64_t>());
+            break;
+        case Json::value_t::number_float:
+            p.pack(v.get<double>());
+            break;
+        default:
+            p.pack_nil();
+            break;
     }
 }
 
--- a/src/protocol/settings_file.cpp
+++ b/src/protocol/settings_file.cpp
@@ -207,6 +207,7 @@
         {"place.regret_s", {&q.regret_s, 0, 3600}},
         {"place.keep_slots", {&keep, 0, 1000}},
         {"place.preempt", {&preempt, 0, 1}},
+        {"place.rise_s", {&q.rise_s, 0, 86400}},
         {"place.gather", {&gather, 0, 1000}},
         {"place.gather.after_s", {&q.gather_after_s, 0, 3600}},
         {"place.preempt.after_s", {&q.preempt_after_s, 0, 3600}},
@@ -260,7 +261,8 @@
     q.permanent_first = static_cast<std::uint32_t>(permanent);
     q.rent_unplaceable = unplaceable != 0;
     q.preempt = preempt != 0;
-    if (!(q.mark_low < q.mark_high)) throw SettingsError("scale.mark.low: must be below scale.mark.high");
+    if (!(q.mark_low < q.mark_high))
+        throw SettingsError("scale.mark.low: must be below scale.mark.high");
     if (!(q.mark_high < 1)) throw SettingsError("scale.mark.high: must be below 1");
     return q;
 }
--- a/src/protocol/wire.cpp
+++ b/src/protocol/wire.cpp
@@ -165,10 +165,14 @@
 
 const char* status_word(JobStatus s) {
     switch (s) {
-        case JobStatus::pending: return "pending";
-        case JobStatus::running: return "running";
-        case JobStatus::done: return "done";
-        case JobStatus::cancelled: return "cancelled";
+        case JobStatus::pending:
+            return "pending";
+        case JobStatus::running:
+            return "running";
+        case JobStatus::done:
+            return "done";
+        case JobStatus::cancelled:
+            return "cancelled";
     }
     return "pending";
 }
@@ -178,8 +182,12 @@
     for (const Order& o : orders) {
         Json v{{"piece", o.job + "/" + std::to_string(o.task)}, {"try", o.attempt}};
         switch (o.verb) {
-            case OrderVerb::run: v["verb"] = "run"; break;
-            case OrderVerb::clear: v["verb"] = "clear"; break;
+            case OrderVerb::run:
+                v["verb"] = "run";
+                break;
+            case OrderVerb::clear:
+                v["verb"] = "clear";
+                break;
             case OrderVerb::halt:
                 v["verb"] = "halt";
                 v["leewayS"] = o.grace_s;
@@ -292,7 +300,9 @@
 HttpCall encode(const StateCall& c) {
     HttpCall h;
     switch (c.verb) {
-        case StateVerb::get: h.path = "/keys/" + c.key; break;
+        case StateVerb::get:
+            h.path = "/keys/" + c.key;
+            break;
         case StateVerb::list:
             h.path = "/keys?prefix=" + c.key;
             if (!c.after_key.empty()) h.path += "&after=" + c.after_key;
@@ -373,7 +383,8 @@
             case StateVerb::changes:
                 for (const Json& e : need(b, "events")) {
                     if (!absent(e, "write")) {
-                        r.rows.push_back({text(e, "write"), need(e, "value"), whole(e, "stamp", "")});
+                        r.rows.push_back(
+                            {text(e, "write"), need(e, "value"), whole(e, "stamp", "")});
                     } else if (!absent(e, "drop")) {
                         r.rows.push_back({text(e, "drop"), std::nullopt, whole(e, "stamp", "")});
                     } else {
@@ -381,8 +392,11 @@
                     }
                 }
                 break;
-            case StateVerb::lease_grant: r.lease = whole(b, "permit", ""); break;
-            default: break;
+            case StateVerb::lease_grant:
+                r.lease = whole(b, "permit", "");
+                break;
+            default:
+                break;
         }
     } catch (const BadField& e) {
         spdlog::warn("answer of the state service not understood: {}", e.what);
@@ -399,7 +413,9 @@
 HttpCall encode(const CloudCall& c) {
     HttpCall h;
     switch (c.verb) {
-        case CloudVerb::kinds: h.path = "/flavors"; break;
+        case CloudVerb::kinds:
+            h.path = "/flavors";
+            break;
         case CloudVerb::hire:
             h.method = Method::post;
             h.path = "/machines";
@@ -492,8 +508,8 @@
     HttpCall h;
     h.method = Method::post;
     h.path = "/orders";
-    h.body = pack(
-        Json{{"baton", c.token}, {"stint", c.session}, {"orders", encode_orders(c.orders)}});
+    h.body =
+        pack(Json{{"baton", c.token}, {"stint", c.session}, {"orders", encode_orders(c.orders)}});
     return h;
 }
 
--- a/src/transport/http_client.cpp
+++ b/src/transport/http_client.cpp
@@ -23,7 +23,8 @@
 void HttpClient::connect(Lane& lane) {
     lane.connection.reset(
         evhttp_connection_base_bufferevent_new(base_, nullptr, nullptr, host_.c_str(), port_));
-    if (lane.connection) evhttp_connection_set_max_body_size(lane.connection.get(), 8 * 1024 * 1024);
+    if (lane.connection)
+        evhttp_connection_set_max_body_size(lane.connection.get(), 8 * 1024 * 1024);
 }
 
 void HttpClient::send(protocol::HttpCall call, Then then) {
--- a/src/transport/http_server.cpp
+++ b/src/transport/http_server.cpp
@@ -14,24 +14,37 @@
 
 protocol::Method method_of(evhttp_request* r) {
     switch (evhttp_request_get_command(r)) {
-        case EVHTTP_REQ_GET: return protocol::Method::get;
-        case EVHTTP_REQ_POST: return protocol::Method::post;
-        case EVHTTP_REQ_DELETE: return protocol::Method::del;
-        default: return protocol::Method::other;
+        case EVHTTP_REQ_GET:
+            return protocol::Method::get;
+        case EVHTTP_REQ_POST:
+            return protocol::Method::post;
+        case EVHTTP_REQ_DELETE:
+            return protocol::Method::del;
+        default:
+            return protocol::Method::other;
     }
 }
 
 const char* reason(int code) {
     switch (code) {
-        case 200: return "OK";
-        case 201: return "Created";
-        case 400: return "Bad Request";
-        case 404: return "Not Found";
-        case 405: return "Method Not Allowed";
-        case 421: return "Misdirected Request";
-        case 422: return "Unprocessable Content";
-        case 429: return "Too Many Requests";
-        default: return "Service Unavailable";
+        case 200:
+            return "OK";
+        case 201:
+            return "Created";
+        case 400:
+            return "Bad Request";
+        case 404:
+            return "Not Found";
+        case 405:
+            return "Method Not Allowed";
+        case 421:
+            return "Misdirected Request";
+        case 422:
+            return "Unprocessable Content";
+        case 429:
+            return "Too Many Requests";
+        default:
+            return "Service Unavailable";
     }
 }
 
@@ -65,7 +78,8 @@
     if (!bound) throw std::runtime_error("can't listen on " + address);
     sockaddr_in name{};
     socklen_t size = sizeof name;
-    if (getsockname(evhttp_bound_socket_get_fd(bound), reinterpret_cast<sockaddr*>(&name), &size) == 0) {
+    if (getsockname(evhttp_bound_socket_get_fd(bound), reinterpret_cast<sockaddr*>(&name), &size) ==
+        0) {
         port_ = ntohs(name.sin_port);
     }
 }
--- a/src/transport/peer_link.cpp
+++ b/src/transport/peer_link.cpp
@@ -47,7 +47,8 @@
     bufferevent_setcb(o.buffer.get(), on_out_read, nullptr, on_out_event, &o);
     bufferevent_enable(o.buffer.get(), EV_READ | EV_WRITE);
     sockaddr_in a = to_sockaddr(peers_[o.peer].address);
-    if (bufferevent_socket_connect(o.buffer.get(), reinterpret_cast<sockaddr*>(&a), sizeof a) != 0) {
+    if (bufferevent_socket_connect(o.buffer.get(), reinterpret_cast<sockaddr*>(&a), sizeof a) !=
+        0) {
         o.buffer.reset();
     }
 }
--- a/src/transport/process.cpp
+++ b/src/transport/process.cpp
@@ -28,7 +28,9 @@
 }
 
 Process::Process(Platform platform, Policy policy)
-    : platform_(platform), base_(event_base_new()), node_(platform, std::move(policy), random_seed()) {
+    : platform_(platform),
+      base_(event_base_new()),
+      node_(platform, std::move(policy), random_seed()) {
     if (!base_) throw std::runtime_error("no event loop");
     node_.set_stopwatch([] {
         return std::chrono::duration_cast<std::chrono::microseconds>(
@@ -38,8 +40,8 @@
     event_base* base = base_.get();
     // Connections to state, cloud, workers and peers come first; users and workers get the rest.
     std::size_t reserve = 16 + kMostWorkerLines + 4 * platform_.peers.size();
-    std::size_t most = platform_.fd_limit > 2 * reserve ? platform_.fd_limit - reserve
-                                                        : platform_.fd_limit / 2;
+    std::size_t most =
+        platform_.fd_limit > 2 * reserve ? platform_.fd_limit - reserve : platform_.fd_limit / 2;
     server_ = std::make_unique<HttpServer>(base, platform_.serve_on, most,
                                            [this](const Input& in) { step(in); });
     peers_ = std::make_unique<PeerLink>(base, platform_.cluster_listen, platform_.peers,
