--- a/src/coordination/cloud_dialogue.cpp
+++ b/src/coordination/cloud_dialogue.cpp
@@ -127,8 +127,11 @@
     h.permanent = permanent;
     registry_.hires.push_back(h);
     std::size_t size = encode_registry(registry_, term_.core.names).dump().size();
-    // Room for the names this hire will bring: what the value can't hold is not rented.
-    if (static_cast<double>(size + 16 * h.count + 64) > term_.core.platform.value_kb * 1024.0) {
+    // Room for the names that this hire and the open ones will bring (a row for each and two
+    // characters a name, and as much again for the rows that marks of returning split off): what
+    // the value can't hold is not rented.
+    for (const Hire& open : registry_.hires) size += 64 + 4 * open.count;
+    if (static_cast<double>(size) > term_.core.platform.value_kb * 1024.0) {
         registry_.hires.pop_back();
         spdlog::error("the machine registry is full: {} machines are not rented", h.count);
         return false;
--- a/src/coordination/core.hpp
+++ b/src/coordination/core.hpp
@@ -32,32 +32,42 @@
     std::unordered_map<CallId, Then> pending_;
 };
 
-// Calls to the cloud, paced below its limit; giving back and listing wait like the rest.
+// Calls to the cloud, paced below its limit; a list of two thousand machines takes several, and
+// waits behind what rents and gives back.
 class CloudDesk {
   public:
     explicit CloudDesk(double rps) : rate_(rps * 0.8), tokens_(rate_) {}
     using Then = CallDesk<CloudReply>::Then;
-    void call(CloudCall call, Then then) { queue_.push_back({std::move(call), std::move(then)}); }
+    void call(CloudCall call, Then then) {
+        bool reads = call.verb == CloudVerb::list || call.verb == CloudVerb::kinds;
+        (reads ? readings_ : queue_).push_back({std::move(call), std::move(then)});
+    }
     void pump(Ms now, Outputs& out) {
         tokens_ = std::min(std::max(1.0, rate_),
                            tokens_ + rate_ * static_cast<double>(now - refilled_) / 1000.0);
         refilled_ = now;
-        while (!queue_.empty() && tokens_ >= 1.0) {
+        while (tokens_ >= 1.0) {
+            auto& queue = queue_.empty() ? readings_ : queue_;
+            if (queue.empty()) break;
             tokens_ -= 1.0;
-            auto [call, then] = std::move(queue_.front());
-            queue_.pop_front();
+            auto [call, then] = std::move(queue.front());
+            queue.pop_front();
             call.call = desk_.open(std::move(then));
             out.emplace_back(std::move(call));
         }
     }
     void reply(Ms now, const CloudReply& r) { desk_.reply(now, r); }
-    void clear() { queue_.clear(); }
+    void clear() {
+        queue_.clear();
+        readings_.clear();
+    }
 
   private:
     double rate_;
     double tokens_;
     Ms refilled_ = 0;
     std::deque<std::pair<CloudCall, Then>> queue_;
+    std::deque<std::pair<CloudCall, Then>> readings_;
     CallDesk<CloudReply> desk_;
 };
 
--- a/src/coordination/gatherer.cpp
+++ b/src/coordination/gatherer.cpp
@@ -10,6 +10,10 @@
 
 namespace {
 constexpr Ms kKeepFor = 2500;         // renewed by every round that still finds the gang waiting
+// A plan looks at every task of every machine: the next for that gang waits as long as this one has
+// earned, on a small fleet not at all. (Plans a second old cost 0.12 of a busy day: what had become
+// free was kept for nobody, and what was kept was no longer needed.)
+constexpr std::size_t kLooksPerMs = 100;
 constexpr Ms kStopEvery = 1000;       // one gang at a time has work stopped for it
 constexpr Ms kWorthStopping = 10000;  // ... and only to start so much sooner
 constexpr Ms kSameZone = 5000;        // a zone begun with is not left for less
@@ -35,6 +39,7 @@
                                                    const MayStop* may_stop) const {
     const Books& books = term_.books;
     std::vector<std::pair<Ms, TaskRef>> list;
+    looked_ += 1 + books.machines[machine].tasks.size();
     for (TaskRef ref : books.machines[machine].tasks) {
         const Job& v = books.jobs[ref.job];
         Ms end = expected_end(ref, now);
@@ -93,7 +98,10 @@
 
 bool Gatherer::gather(Ms now, Id id, const std::vector<Id>& usable, const MayStop& may_stop) {
     Books& books = term_.books;
-    const Job& j = books.jobs[id];
+    Job& j = books.jobs[id];
+    if (now < j.gather_at) return j.gathering;
+    j.gathering = false;
+    looked_ = 0;
     std::vector<Id> zones{kNone};
     if (j.spec.one_zone) {
         zones.clear();
@@ -131,6 +139,7 @@
             stopping = true;
         }
     }
+    j.gather_at = now + static_cast<Ms>(looked_ / kLooksPerMs);
     release(id);
     if (!best) {
         spdlog::debug("{} finds no zone with {} places, full or empty", j.spec.id, j.spec.tasks);
@@ -145,6 +154,7 @@
         m.kept_until = now + kKeepFor;
         m.kept_ready = best->ready;
     }
+    j.gathering = true;
     if (stopping) stop_victims(now, id, *best, may_stop);
     return true;
 }
--- a/src/coordination/gatherer.hpp
+++ b/src/coordination/gatherer.hpp
@@ -46,6 +46,7 @@
     Term& term_;
     Fates& fates_;
     Ms stopped_at_ = -1000000;
+    mutable std::size_t looked_ = 0;  // work done by a plan
 };
 
 }  // namespace walkford
--- a/src/coordination/leader.cpp
+++ b/src/coordination/leader.cpp
@@ -181,6 +181,7 @@
         scaler_.tick(now, workers_, cloud_);
         write_chunks(now);
     }
+    workers_.answer_held(now, placer_.rounds());
 }
 
 void Leader::write_chunks(Ms now) {
--- a/src/coordination/placer.cpp
+++ b/src/coordination/placer.cpp
@@ -12,6 +12,12 @@
 
 namespace {
 constexpr Ms kRoundEvery = 400;
+// Rounds share what many reports bring within so long: with two thousand machines one was begun at
+// almost every report, and looked at all of them each time.
+constexpr Ms kRoundSpacing = 50;
+// A round ends after so many looks at a machine, if its time isn't spent before.
+constexpr std::size_t kMostLooked = 400000;
+constexpr int kMostPreemptions = 8;  // jobs that look for work to stop, in one go
 constexpr Ms kShapeKept = 600000;  // a class not seen for so long is not kept room for
 // Placements not yet written are bounded: more would only wait for the state service.
 constexpr std::uint32_t kMostPerJob = 256;
@@ -20,7 +26,7 @@
 // One that has not begun rises by a priority each time it has waited so long again: strict priority
 // would let the lowest wait for ever while higher work keeps coming.
 int Placer::risen(const Job& j, Ms now, double rise_s) {
-    int own = std::max(static_cast<int>(j.spec.priority), j.rank);
+    int own = rank_of(j);
     if (rise_s <= 0 || j.placed > 0 || j.done > 0) return own;
     return std::clamp(static_cast<int>(j.spec.priority) +
                           static_cast<int>((now - j.waiting_since) / to_ms(rise_s)),
@@ -36,68 +42,76 @@
         }
     }
     // Guarantee demand goes before borrowed of the same priority; then age.
-    auto rank = [&](Id id) {
+    std::vector<std::tuple<int, int, Ms, std::uint64_t, Id>> ranked;
+    ranked.reserve(order.size());
+    for (Id id : order) {
         const Job& j = books.jobs[id];
-        return std::tuple{-risen(j, now, rise_s),
-                          books.within_guarantee(j.spec.team, j.spec.each) ? 0 : 1, j.start_by,
-                          j.born, id};
-    };
-    std::sort(order.begin(), order.end(), [&](Id a, Id b) { return rank(a) < rank(b); });
+        ranked.emplace_back(-risen(j, now, rise_s),
+                            books.within_guarantee(j.spec.team, j.spec.each) ? 0 : 1, j.start_by,
+                            j.born, id);
+    }
+    std::sort(ranked.begin(), ranked.end());
+    for (std::size_t i = 0; i < order.size(); ++i) order[i] = std::get<4>(ranked[i]);
     return order;
 }
 
 int Placer::fetching(const Machine& m) const {
     const Books& books = term_.books;
-    std::set<Id> images;
+    std::vector<Id> images;
     for (TaskRef ref : m.tasks) {
         const Task& t = term_.books.task(ref);
         if (t.state == TaskState::pulling || t.phase == Phase::placed || t.phase == Phase::sent) {
             Id image = books.jobs[ref.job].spec.image;
-            if (image != kNone) images.insert(image);
+            if (image != kNone && std::find(images.begin(), images.end(), image) == images.end()) {
+                images.push_back(image);
+            }
         }
     }
     return static_cast<int>(images.size());
 }
 
-double Placer::regret(const Job& job, const Machine& m, const Kind& kind) const {
+double Placer::regret(const Job& job, const RoomMap::Sort& sort, const Amounts& free) const {
     const Books& books = term_.books;
     double sum = 0;
-    Amounts free = kind.size - m.used;
     for (std::size_t i = 0; i < books.shapes.size(); ++i) {
         const Shape& shape = books.shapes[i];
         if (shape.lane == job.spec.lane || i >= lane_slots_.size()) continue;
-        auto before = Books::slots(shape.spec, m.kind, m.zone, m.spot, free);
+        auto before = Books::slots(shape.spec, sort.kind, sort.zone, sort.spot, free);
         if (before == 0) continue;
-        auto after = Books::slots(shape.spec, m.kind, m.zone, m.spot, free - job.spec.each);
+        auto after =
+            Books::slots(shape.spec, sort.kind, sort.zone, sort.spot, free - job.spec.each);
         sum += static_cast<double>(before - after) / std::max(1.0, lane_slots_[i]);
     }
     return sum;
 }
 
-// Keeps lane_slots_ right while a round goes on.
-void Placer::take_slots(const Machine& m, const Amounts& each) {
-    const Books& books = term_.books;
-    const Kind* kind = books.kind(m.kind);
-    for (std::size_t i = 0; kind && i < lane_slots_.size(); ++i) {
-        Amounts free = kind->size - m.used;
-        lane_slots_[i] -= Books::slots(books.shapes[i].spec, m.kind, m.zone, m.spot, free);
-        lane_slots_[i] += Books::slots(books.shapes[i].spec, m.kind, m.zone, m.spot, free - each);
+// Takes a task into the books; keeps the round's own view right.
+void Placer::put(TaskRef ref, Id machine, std::uint32_t attempt, Ms now) {
+    Books& books = term_.books;
+    const Machine& m = books.machines[machine];
+    const Amounts& each = books.jobs[ref.job].spec.each;
+    if (const Kind* kind = books.kind(m.kind)) {
+        for (std::size_t i = 0; i < lane_slots_.size(); ++i) {
+            Amounts free = kind->size - m.used;
+            const JobSpec& s = books.shapes[i].spec;
+            lane_slots_[i] -= Books::slots(s, m.kind, m.zone, m.spot, free);
+            lane_slots_[i] += Books::slots(s, m.kind, m.zone, m.spot, free - each);
+        }
     }
+    books.place(ref, machine, attempt, now);
+    rooms_.update(books, machine);
 }
 
-bool Placer::kept(const Job& job, const Machine& m, const Kind& kind) const {
+bool Placer::kept(const Job& job, const RoomMap::Sort& sort, const Amounts& free) const {
     const Books& books = term_.books;
     if (term_.core.policy.keep_slots == 0) return false;
-    double own = 1e18;
-    for (std::size_t i = 0; i < lane_aim_.size(); ++i) {
-        if (books.shapes[i].lane == job.spec.lane) own = lane_aim_[i];
-    }
-    Amounts free = kind.size - m.used;
+    double own = aim_of(job.spec);
     for (std::size_t i = 0; i < lane_slots_.size(); ++i) {
         const JobSpec& other = books.shapes[i].spec;
         if (books.shapes[i].lane == job.spec.lane) continue;
-        double lost = Books::slots(other, m.kind, m.zone, m.spot, free) -
-                      Books::slots(other, m.kind, m.zone, m.spot, free - job.spec.each);
+        double lost =
+            Books::slots(other, sort.kind, sort.zone, sort.spot, free) -
+            Books::slots(other, sort.kind, sort.zone, sort.spot, free - job.spec.each);
         if (lost <= 0 || lane_slots_[i] - lost >= term_.core.policy.keep_slots) continue;
         // Only from those who have somewhere else to go; for those with a tighter aim, or who have
         // not.
@@ -133,16 +147,14 @@
 bool Placer::may_stop(const Job& v, const Job& j) const {
     const Books& books = term_.books;
     if (v.spec.gang && v.spec.tasks > 1) return false;
-    if (std::max(static_cast<int>(v.spec.priority), v.rank) >= static_cast<int>(j.spec.priority)) {
-        return false;
-    }
+    if (rank_of(v) >= static_cast<int>(j.spec.priority)) return false;
     // What a team runs within its guarantee need not make room for others.
     if (v.spec.team != j.spec.team && books.within_guarantee(v.spec.team, Amounts{})) return false;
     // Work that can run nowhere else only loses, unless nobody asked for it to start soon.
     return elsewhere(v.spec, j.spec) || aim_of(v.spec) > aim_of(j.spec);
 }
 
-void Placer::count_slots(Ms now, const std::vector<Id>& usable) {
+void Placer::count_slots(Ms now) {
     const Books& books = term_.books;
     lane_slots_.assign(books.shapes.size(), 0);
     lane_aim_.assign(books.shapes.size(), 1e18);
@@ -151,71 +163,125 @@
         if (m.held && !m.gone) sorts_.insert({m.kind, m.zone, m.spot});
     }
     for (std::size_t i = 0; i < books.shapes.size(); ++i) {
+        const Shape& shape = books.shapes[i];
         for (const WaitAim& aim : term_.core.platform.wait_aims) {
-            if (books.names.lanes.find(aim.lane) == books.shapes[i].lane) {
+            if (books.names.lanes.find(aim.lane) == shape.lane) {
                 lane_aim_[i] = std::min(lane_aim_[i], aim.within_s);
             }
         }
-    }
-    for (std::size_t i = 0; i < books.shapes.size(); ++i) {
-        if (now > books.shapes[i].seen + kShapeKept) {
+        if (now > shape.seen + kShapeKept) {
             lane_slots_[i] = 1e9;
             continue;
         }
-        for (Id id : usable) {
-            const Machine& m = books.machines[id];
-            if (const Kind* kind = books.kind(m.kind)) {
+        for (const RoomMap::Sort& sort : rooms_.sorts()) {
+            if (!RoomMap::allowed(shape.spec, sort)) continue;
+            for (const RoomMap::Room& room : sort.rooms) {
                 lane_slots_[i] +=
-                    Books::slots(books.shapes[i].spec, m.kind, m.zone, m.spot, kind->size - m.used);
+                    Books::slots(shape.spec, sort.kind, sort.zone, sort.spot, room.free);
             }
         }
     }
 }
 
-Id Placer::choose(Id job_id, const std::vector<Id>& usable, Id zone_only) const {
+bool Placer::admits(const Job& job, const RoomMap::Sort& sort) const {
+    const JobSpec& s = job.spec;
+    if (!RoomMap::allowed(s, sort)) return false;
+    if (s.one_zone && !job.zones.empty() && job.zones.begin()->first != sort.zone) return false;
+    if (!s.spread) return true;
+    auto it = job.zones.find(sort.zone);
+    return it == job.zones.end() || it->second < s.zone_most();
+}
+
+// The order in which machines are tried: where this job hasn't failed, where the task starts
+// soonest and other classes lose least room, spot first for those who may, then the fullest.
+std::optional<Placer::Score> Placer::score(Id job_id, const RoomMap::Sort& sort,
+                                           const RoomMap::Room& room) const {
     const Books& books = term_.books;
     const Job& job = books.jobs[job_id];
     const JobSpec& s = job.spec;
-    using Score = std::tuple<int, double, int, double, Id>;
-    Score best{9, 0, 0, 0, kNone};
-    for (Id id : usable) {
-        const Machine& m = books.machines[id];
-        if (!s.allows_kind(m.kind) || (s.zone != kNone && s.zone != m.zone)) continue;
-        if (m.spot && !s.spot) continue;
-        if (zone_only != kNone && m.zone != zone_only) continue;
-        if (s.one_zone && !job.zones.empty() && job.zones.begin()->first != m.zone) continue;
-        if (s.spread) {
-            auto it = job.zones.find(m.zone);
-            if (it != job.zones.end() && it->second >= s.zone_most()) continue;
+    if (!s.each.fits_in(room.free) || !admits(job, sort)) return std::nullopt;
+    const Machine& m = books.machines[room.machine];
+    const Kind* kind = books.kind(m.kind);
+    double fetch = 0;
+    if (s.image != kNone && !m.images.count(s.image) && kind->fetch_gb_per_s > 0) {
+        // Images fetched at the same time share the rate.
+        fetch = s.image_gb / kind->fetch_gb_per_s * (1 + fetching(m));
+    }
+    if (m.kept_for != job_id) {
+        if (m.kept_for != kNone && !over_in_time(s, m, fetch)) return std::nullopt;
+        if (kept(job, sort, room.free)) return std::nullopt;
+    }
+    double wait = fetch + term_.core.policy.regret_s * regret(job, sort, room.free);
+    Score least = least_score(job, sort, room);
+    std::get<1>(least) = std::round(wait / 2);
+    return least;
+}
+
+Placer::Score Placer::least_score(const Job& job, const RoomMap::Sort& sort,
+                                  const RoomMap::Room& room) {
+    double left = sort.size.cpus > 0 ? room.free.cpus / sort.size.cpus : 0;
+    return {room.failing || job.failed_on.count(room.machine) ? 1 : 0, 0,
+            job.spec.spot && !sort.spot ? 1 : 0, left, room.machine};
+}
+
+Placer::Picker::Picker(const Placer& placer, Id job_id, Id zone_only)
+    : placer_(placer), job_(job_id) {
+    const Job& job = placer.term_.books.jobs[job_id];
+    const auto& sorts = placer.rooms_.sorts();
+    for (std::uint32_t i = 0; i < sorts.size(); ++i) {
+        const RoomMap::Sort& sort = sorts[i];
+        if (zone_only != kNone && sort.zone != zone_only) continue;
+        if (!job.spec.each.fits_in(sort.most) || !placer.admits(job, sort)) continue;
+        placer.looked_ += sort.rooms.size();
+        for (std::uint32_t r = 0; r < sort.rooms.size(); ++r) {
+            if (!job.spec.each.fits_in(sort.rooms[r].free)) continue;
+            heap_.push_back({least_score(job, sort, sort.rooms[r]), i, r});
         }
-        const Kind* kind = books.kind(m.kind);
-        if (!kind || !s.each.fits_in(kind->size - m.used)) continue;
-        // The order in which machines are tried: where this job hasn't failed, where the task
-        // starts soonest and other classes lose least room, spot first for those who may, then the
-        // fullest.
-        double fetch = 0;
-        if (s.image != kNone && !m.images.count(s.image) && kind->fetch_gb_per_s > 0) {
-            // Images fetched at the same time share the rate.
-            fetch = s.image_gb / kind->fetch_gb_per_s * (1 + fetching(m));
+    }
+    std::make_heap(heap_.begin(), heap_.end());
+}
+
+Id Placer::Picker::next() {
+    while (!heap_.empty()) {
+        Entry& top = heap_.front();
+        const RoomMap::Sort& sort = placer_.rooms_.sorts()[top.sort];
+        const RoomMap::Room& room = sort.rooms[top.room];
+        ++placer_.looked_;
+        std::optional<Score> real = placer_.score(job_, sort, room);
+        if (real && !(top.score < *real)) return room.machine;
+        std::pop_heap(heap_.begin(), heap_.end());
+        if (real) {
+            heap_.back().score = *real;
+            std::push_heap(heap_.begin(), heap_.end());
+        } else {
+            heap_.pop_back();
         }
-        if (m.kept_for != kNone && m.kept_for != job_id && !over_in_time(s, m, fetch)) continue;
-        if (m.kept_for != job_id && kept(job, m, *kind)) continue;
-        double wait = fetch + term_.core.policy.regret_s * regret(job, m, *kind);
-        double left = kind->size.cpus > 0 ? (kind->size.cpus - m.used.cpus) / kind->size.cpus : 0;
-        Score score{job.failed_on.count(id) || m.errors() > 0 ? 1 : 0, std::round(wait / 2),
-                    s.spot && !m.spot ? 1 : 0, left, id};
-        if (score < best) best = score;
-    }
-    return std::get<4>(best);
+    }
+    return kNone;
+}
+
+void Placer::Picker::placed() {
+    // Its image may be on its way now, so the same machine may have become a better place.
+    Entry& top = heap_.front();
+    const RoomMap::Sort& sort = placer_.rooms_.sorts()[top.sort];
+    std::optional<Score> real = placer_.score(job_, sort, sort.rooms[top.room]);
+    std::pop_heap(heap_.begin(), heap_.end());
+    if (real) {
+        heap_.back().score = *real;
+        std::push_heap(heap_.begin(), heap_.end());
+    } else {
+        heap_.pop_back();
+    }
 }
 
-std::uint32_t Placer::place_batch(Ms now, Id id, const std::vector<Id>& usable) {
+std::uint32_t Placer::place_batch(Ms now, Id id) {
     Books& books = term_.books;
     std::uint32_t placed = 0;
+    Picker picker(*this, id, kNone);
     while (placed < kMostPerJob && books.jobs[id].waiting() > 0) {
         Job& j = books.jobs[id];
         if (!books.within_limit(j.spec.team, j.spec.each)) break;
-        Id machine = choose(id, usable, kNone);
+        Id machine = picker.next();
         if (machine == kNone) break;
         std::uint32_t index;
         if (!j.again.empty()) {
@@ -225,8 +291,8 @@
             index = j.next_fresh++;
         }
         TaskRef ref{id, index};
-        take_slots(books.machines[machine], j.spec.each);
-        books.place(ref, machine, books.task(ref).attempt + 1, now);
+        put(ref, machine, books.task(ref).attempt + 1, now);
+        picker.placed();
         spdlog::debug("{}/{} attempt {} to {}", j.spec.id, index, books.task(ref).attempt,
                       books.machines[machine].name);
         ++placed;
@@ -235,7 +301,7 @@
 }
 
 // Members lost before their gang began, with the attempt of those that wait for them.
-void Placer::replace_members(Ms now, Id id, const std::vector<Id>& usable) {
+void Placer::replace_members(Ms now, Id id) {
     Books& books = term_.books;
     Job& j = books.jobs[id];
     if (j.spec.tasks <= 1 || !fates_.unbegun(id)) return;
@@ -246,15 +312,16 @@
         const Task& t = books.task({id, i});
         if (t.machine != kNone) attempt = std::max(attempt, t.attempt);
     }
+    Picker picker(*this, id, kNone);
     while (!j.again.empty() && books.within_limit(j.spec.team, j.spec.each)) {
-        Id machine = choose(id, usable, kNone);
+        Id machine = picker.next();
         if (machine == kNone) break;
         std::uint32_t index = j.again.front();
         // Only this attempt's own: a member that has used a later one can't join.
         if (books.task({id, index}).attempt > attempt) break;
         j.again.pop_front();
-        take_slots(books.machines[machine], j.spec.each);
-        books.place({id, index}, machine, attempt, now);
+        put({id, index}, machine, attempt, now);
+        picker.placed();
         spdlog::debug("{}/{} attempt {} replaced on {}", j.spec.id, index, attempt,
                       books.machines[machine].name);
     }
@@ -266,7 +333,25 @@
     }
 }
 
-bool Placer::place_gang(Ms now, Id id, const std::vector<Id>& usable) {
+std::uint32_t Placer::places(Id id, Id zone) const {
+    const JobSpec& s = term_.books.jobs[id].spec;
+    std::uint32_t n = 0;
+    for (const RoomMap::Sort& sort : rooms_.sorts()) {
+        if ((zone != kNone && sort.zone != zone) || !s.each.fits_in(sort.most)) continue;
+        if (!RoomMap::allowed(s, sort)) continue;
+        looked_ += sort.rooms.size();
+        for (const RoomMap::Room& room : sort.rooms) {
+            if (n >= s.tasks) return n;
+            if (!s.each.fits_in(room.free)) continue;
+            Id kept_for = term_.books.machines[room.machine].kept_for;
+            if (kept_for != kNone && kept_for != id) continue;
+            n += Books::slots(s, sort.kind, sort.zone, sort.spot, room.free);
+        }
+    }
+    return n;
+}
+
+bool Placer::place_gang(Ms now, Id id) {
     Books& books = term_.books;
     const JobSpec& s = books.jobs[id].spec;
     // A new attempt only after every task of the old one is gone.
@@ -274,43 +359,39 @@
         return false;
     }
     if (books.limit_room(s.team, s.each) < s.tasks) return false;
-    std::uint32_t attempt = 0;
-    for (std::uint32_t i = 0; i < s.tasks; ++i) {
-        attempt = std::max(attempt, books.task({id, i}).attempt);
-    }
-    ++attempt;
     std::vector<Id> zones{kNone};
     if (s.one_zone) {
         zones.clear();
-        for (Id m : usable) {
-            if (std::find(zones.begin(), zones.end(), books.machines[m].zone) == zones.end()) {
-                zones.push_back(books.machines[m].zone);
+        for (const RoomMap::Sort& sort : rooms_.sorts()) {
+            if (std::find(zones.begin(), zones.end(), sort.zone) == zones.end()) {
+                zones.push_back(sort.zone);
             }
         }
+    }
+    // A zone without places enough is seen without trying.
+    std::erase_if(zones, [&](Id zone) { return places(id, zone) < s.tasks; });
+    if (zones.empty()) return false;
+    if (zones.size() > 1) {
         // The zone that the best machine for one task lies in is tried first.
-        Id first = choose(id, usable, kNone);
+        Id first = Picker(*this, id, kNone).next();
         if (first != kNone) {
             auto it = std::find(zones.begin(), zones.end(), books.machines[first].zone);
             if (it != zones.end()) std::iter_swap(zones.begin(), it);
         }
     }
+    std::uint32_t attempt = 0;
+    for (std::uint32_t i = 0; i < s.tasks; ++i) {
+        attempt = std::max(attempt, books.task({id, i}).attempt);
+    }
+    ++attempt;
     for (Id zone : zones) {
-        // A zone without places enough is seen without trying.
-        std::uint32_t places = 0;
-        for (Id id_m : usable) {
-            const Machine& m = books.machines[id_m];
-            const Kind* kind = books.kind(m.kind);
-            if (!kind || (zone != kNone && m.zone != zone)) continue;
-            if (m.kept_for != kNone && m.kept_for != id) continue;
-            places += Books::slots(s, m.kind, m.zone, m.spot, kind->size - m.used);
-        }
-        if (places < s.tasks) continue;
         std::vector<std::uint32_t> placed;
+        Picker picker(*this, id, zone);
         for (std::uint32_t i = 0; i < s.tasks; ++i) {
-            Id machine = choose(id, usable, zone);
+            Id machine = picker.next();
             if (machine == kNone) break;
-            take_slots(books.machines[machine], s.each);
-            books.place({id, i}, machine, attempt, now);
+            put({id, i}, machine, attempt, now);
+            picker.placed();
             placed.push_back(i);
         }
         if (placed.size() == s.tasks) {
@@ -322,9 +403,11 @@
             return true;
         }
         for (std::uint32_t i : placed) {
+            Id machine = books.task({id, i}).machine;
             books.unseat({id, i});
             books.task({id, i}).phase = Phase::idle;
             books.task({id, i}).attempt = attempt - 1;
+            rooms_.update(books, machine);
         }
     }
     return false;
@@ -332,15 +415,17 @@
 
 void Placer::round(Ms now, const WorkerDialogue& workers) {
     if (!term_.place_now && now < next_) return;
+    // What many reports ask for at once is done in one round.
+    if (now < began_ + kRoundSpacing) return;
+    began_ = now;
     term_.place_now = false;
     next_ = now + kRoundEvery;
     Books& books = term_.books;
     if (books.kinds().empty()) return;
     std::vector<Id> usable;
     for (Id id = 0; id < books.machines.size(); ++id) {
-        if (workers.usable(books.machines[id], now)) usable.push_back(id);
-    }
-    for (Machine& m : books.machines) {
+        Machine& m = books.machines[id];
+        if (workers.usable(m, now)) usable.push_back(id);
         if (m.kept_for != kNone && (now >= m.kept_until || !books.jobs[m.kept_for].alive ||
                                     books.jobs[m.kept_for].waiting() == 0)) {
             m.kept_for = kNone;
@@ -353,148 +438,186 @@
         gathering_ = 0;
     }
     now_ = now;
-    count_slots(now, usable);
+    rooms_.build(books, usable);
+    count_slots(now);
     // The budget keeps beats and leases answered in time when thousands of jobs wait.
     auto deadline = term_.core.stopwatch() + to_ms(term_.core.policy.round_budget_ms);
+    looked_ = 0;
     while (cursor_ < order_.size()) {
-        Id id = order_[cursor_++];
-        Job& j = books.jobs[id];
-        if (j.alive && !j.cancelled && !j.ending && j.waiting() > 0) {
-            // Who comes first waits for its team's limit; smaller tasks of the team that come later
-            // would take every bit of it that frees up, and a large one would starve.
-            const JobSpec& s = j.spec;
-            // What it has risen to it keeps, or it would be stopped again as soon as it began.
-            j.rank = risen(j, now, term_.core.policy.rise_s);
-            std::uint32_t least = s.gang && j.placed == 0 ? s.tasks : 1;
-            Blocked& blocked = blocked_[s.team];
-            auto rank = static_cast<int>(s.priority);
-            bool behind = (s.each.cpus > 0 && rank <= blocked.cpus) ||
-                          (s.each.gpus > 0 && rank <= blocked.gpus);
-            if (!behind && books.limit_room(s.team, s.each) < least) {
-                behind = true;
-                bool cpus = books.limit_room(s.team, {s.each.cpus, 0, 0}) < least;
-                bool gpus = books.limit_room(s.team, {0, s.each.gpus, 0}) < least;
-                if (cpus) blocked.cpus = std::max(blocked.cpus, rank);
-                if (gpus) blocked.gpus = std::max(blocked.gpus, rank);
-            }
-            if (behind) {
-                // Not before those it waits for.
-            } else if (s.gang && j.placed > 0) {
-                replace_members(now, id, usable);
-            } else if (s.gang) {
-                if (!place_gang(now, id, usable) && s.tasks > 1 && j.placed == 0 &&
-                    gathering_ < term_.core.policy.gather &&
-                    now >= j.waiting_since + to_ms(term_.core.policy.gather_after_s)) {
-                    auto stop = [this](const Job& v, const Job& job) { return may_stop(v, job); };
-                    gathering_ += gatherer_.gather(now, id, usable, stop);
-                }
-            } else {
-                place_batch(now, id, usable);
-            }
-        }
-        if (term_.core.stopwatch() >= deadline && cursor_ < order_.size()) {
+        place_job(now, order_[cursor_++], usable);
+        bool spent = looked_ > kMostLooked || term_.core.stopwatch() >= deadline;
+        if (spent && cursor_ < order_.size()) {
             term_.place_now = true;
             break;
         }
     }
+    if (cursor_ >= order_.size()) ++rounds_;
     if (term_.core.policy.preempt && now >= preempt_at_) {
         preempt_at_ = now + 500;
         preempt(now, usable);
     }
 }
 
+void Placer::place_job(Ms now, Id id, const std::vector<Id>& usable) {
+    Books& books = term_.books;
+    const Policy& policy = term_.core.policy;
+    Job& j = books.jobs[id];
+    if (!j.alive || j.cancelled || j.ending || j.waiting() == 0) return;
+    // Who comes first waits for its team's limit; smaller tasks of the team that come later would
+    // take every bit of it that frees up, and a large one would starve.
+    const JobSpec& s = j.spec;
+    // What it has risen to it keeps, or it would be stopped again as soon as it began.
+    j.rank = risen(j, now, policy.rise_s);
+    std::uint32_t least = s.gang && j.placed == 0 ? s.tasks : 1;
+    Blocked& blocked = blocked_[s.team];
+    auto rank = static_cast<int>(s.priority);
+    if ((s.each.cpus > 0 && rank <= blocked.cpus) || (s.each.gpus > 0 && rank <= blocked.gpus)) {
+        return;
+    }
+    if (books.limit_room(s.team, s.each) < least) {
+        bool cpus = books.limit_room(s.team, {s.each.cpus, 0, 0}) < least;
+        bool gpus = books.limit_room(s.team, {0, s.each.gpus, 0}) < least;
+        if (cpus) blocked.cpus = std::max(blocked.cpus, rank);
+        if (gpus) blocked.gpus = std::max(blocked.gpus, rank);
+        return;
+    }
+    if (!s.gang) {
+        place_batch(now, id);
+    } else if (j.placed > 0) {
+        replace_members(now, id);
+    } else if (!place_gang(now, id) && s.tasks > 1 && gathering_ < policy.gather &&
+               now >= j.waiting_since + to_ms(policy.gather_after_s)) {
+        auto stop = [this](const Job& v, const Job& job) { return may_stop(v, job); };
+        gathering_ += gatherer_.gather(now, id, usable, stop);
+    }
+}
+
 // Room for work of higher priority, or for a team within its guarantee from one beyond its own. The
-// work stopped saves first; the room is kept for whom it was made.
+// work stopped saves first; the room is kept for whom it was made. At most two are helped and a few
+// looked at in one go; the next goes on where this one stopped.
 void Placer::preempt(Ms now, const std::vector<Id>& usable) {
     Books& books = term_.books;
-    const Policy& policy = term_.core.policy;
+    // One job of each class and team with work that can be stopped, of the lowest rank: who could
+    // stop none of these need not look at two thousand machines.
+    running_.clear();
+    for (Id id = 0; id < books.jobs.size(); ++id) {
+        const Job& j = books.jobs[id];
+        if (!j.alive || j.placed == 0 || (j.spec.gang && j.spec.tasks > 1)) continue;
+        auto [it, fresh] = running_.try_emplace({j.spec.lane, j.spec.team}, id);
+        if (!fresh && rank_of(j) < rank_of(books.jobs[it->second])) it->second = id;
+    }
+    if (running_.empty()) return;
     int made = 0;
-    for (Id id : order_) {
-        Job& j = books.jobs[id];
+    int tried = 0;
+    if (preempt_cursor_ >= order_.size()) preempt_cursor_ = 0;
+    for (std::size_t n = 0; n < order_.size() && made < 2 && tried < kMostPreemptions; ++n) {
+        Id id = order_[preempt_cursor_];
+        preempt_cursor_ = (preempt_cursor_ + 1) % order_.size();
+        const Job& j = books.jobs[id];
         const JobSpec& s = j.spec;
         if (!j.alive || j.cancelled || j.ending || j.waiting() == 0 || j.not_before > now) continue;
-        if (now < j.waiting_since + to_ms(policy.preempt_after_s)) continue;
+        if (now < j.waiting_since + to_ms(term_.core.policy.preempt_after_s)) continue;
         if ((s.gang && s.tasks > 1) || !books.within_limit(s.team, s.each)) continue;
         bool guaranteed = books.within_guarantee(s.team, s.each);
+        bool any = std::any_of(running_.begin(), running_.end(), [&](const auto& entry) {
+            const Job& v = books.jobs[entry.second];
+            return stoppable(v, j, guaranteed) && elsewhere(v.spec, s);
+        });
+        if (!any) continue;
         bool being_made = std::any_of(books.machines.begin(), books.machines.end(),
                                       [&](const Machine& m) { return m.kept_for == id; });
         if (being_made) continue;
-        double best_cost = 1e18;
-        Id best = kNone;
-        std::vector<TaskRef> best_victims;
-        for (Id mid : usable) {
-            const Machine& m = books.machines[mid];
-            const Kind* kind = books.kind(m.kind);
-            if (!kind || m.kept_for != kNone ||
-                Books::slots(s, m.kind, m.zone, m.spot, kind->size) == 0) {
-                continue;
-            }
-            if (s.one_zone && !j.zones.empty() && j.zones.begin()->first != m.zone) continue;
-            if (s.spread && j.zones.count(m.zone) && j.zones.at(m.zone) >= s.zone_most()) continue;
-            if (j.failed_on.count(mid)) continue;
-            std::vector<std::pair<double, TaskRef>> victims;
-            for (TaskRef ref : m.tasks) {
-                const Job& v = books.jobs[ref.job];
-                const Task& t = books.task(ref);
-                if (t.halting || (v.spec.gang && v.spec.tasks > 1)) continue;
-                const Team* team = books.team(v.spec.team);
-                bool beyond = guaranteed && team && v.spec.team != s.team &&
-                              !books.within_guarantee(v.spec.team, Amounts{});
-                if (std::max(static_cast<int>(v.spec.priority), v.rank) >=
-                        static_cast<int>(s.priority) &&
-                    !beyond)
-                    continue;
-                // Work that can run nowhere else would only lose what it was doing.
-                if (!elsewhere(v.spec, s)) continue;
-                double ran =
-                    t.running_since < 0 ? 0 : static_cast<double>(now - t.running_since) / 1000.0;
-                double cost = 1 + (v.spec.checkpoint_s > 0 ? v.spec.save_s : ran);
-                // One that is nearly over frees its room by itself.
-                if (t.running_since >= 0 && v.spec.estimate_s > 0 &&
-                    ran > 0.8 * v.spec.estimate_s) {
-                    cost += v.spec.save_s;
-                }
-                victims.emplace_back(cost, ref);
-            }
-            std::sort(victims.begin(), victims.end());
-            Amounts free = kind->size - m.used;
-            double cost = 0;
-            std::vector<TaskRef> chosen;
-            std::map<Id, Amounts> taken;  // a team is not pushed below its guarantee
-            for (const auto& [c, ref] : victims) {
-                if (s.each.fits_in(free)) break;
-                const Job& v = books.jobs[ref.job];
-                Amounts& gone = taken[v.spec.team];
-                if (v.spec.priority >= s.priority &&
-                    books.within_guarantee(v.spec.team, Amounts{} - gone)) {
-                    continue;
-                }
-                gone += v.spec.each;
-                free += v.spec.each;
-                cost += c;
-                chosen.push_back(ref);
+        ++tried;
+        made += preempt_for(now, id, usable);
+    }
+    if (made < 2 && tried < kMostPreemptions) preempt_cursor_ = 0;  // all were looked at
+}
+
+int Placer::rank_of(const Job& j) {
+    return std::max(static_cast<int>(j.spec.priority), j.rank);
+}
+
+// May the victim's work make room for the job, by priority or by guarantee?
+bool Placer::stoppable(const Job& v, const Job& j, bool guaranteed) const {
+    if (rank_of(v) < static_cast<int>(j.spec.priority)) return true;
+    return guaranteed && v.spec.team != j.spec.team && term_.books.team(v.spec.team) &&
+           !term_.books.within_guarantee(v.spec.team, Amounts{});
+}
+
+bool Placer::preempt_for(Ms now, Id id, const std::vector<Id>& usable) {
+    Books& books = term_.books;
+    Job& j = books.jobs[id];
+    const JobSpec& s = j.spec;
+    bool guaranteed = books.within_guarantee(s.team, s.each);
+    std::map<Id, bool> may;  // by the victim's job
+    double best_cost = 1e18;
+    Id best = kNone;
+    std::vector<TaskRef> best_victims;
+    for (Id mid : usable) {
+        const Machine& m = books.machines[mid];
+        const Kind* kind = books.kind(m.kind);
+        if (!kind || m.kept_for != kNone ||
+            Books::slots(s, m.kind, m.zone, m.spot, kind->size) == 0) {
+            continue;
+        }
+        if (s.one_zone && !j.zones.empty() && j.zones.begin()->first != m.zone) continue;
+        if (s.spread && j.zones.count(m.zone) && j.zones.at(m.zone) >= s.zone_most()) continue;
+        if (j.failed_on.count(mid)) continue;
+        std::vector<std::pair<double, TaskRef>> victims;
+        for (TaskRef ref : m.tasks) {
+            const Job& v = books.jobs[ref.job];
+            const Task& t = books.task(ref);
+            if (t.halting || (v.spec.gang && v.spec.tasks > 1)) continue;
+            auto [it, fresh] = may.try_emplace(ref.job, false);
+            // Work that can run nowhere else would only lose what it was doing.
+            if (fresh) it->second = stoppable(v, j, guaranteed) && elsewhere(v.spec, s);
+            if (!it->second) continue;
+            double ran =
+                t.running_since < 0 ? 0 : static_cast<double>(now - t.running_since) / 1000.0;
+            double cost = 1 + (v.spec.checkpoint_s > 0 ? v.spec.save_s : ran);
+            // One that is nearly over frees its room by itself.
+            if (t.running_since >= 0 && v.spec.estimate_s > 0 && ran > 0.8 * v.spec.estimate_s) {
+                cost += v.spec.save_s;
             }
-            if (chosen.empty() || !s.each.fits_in(free)) continue;
-            if (cost < best_cost) {
-                best_cost = cost;
-                best = mid;
-                best_victims = std::move(chosen);
+            victims.emplace_back(cost, ref);
+        }
+        std::sort(victims.begin(), victims.end());
+        Amounts free = kind->size - m.used;
+        double cost = 0;
+        std::vector<TaskRef> chosen;
+        std::map<Id, Amounts> taken;  // a team is not pushed below its guarantee
+        for (const auto& [c, ref] : victims) {
+            if (s.each.fits_in(free)) break;
+            const Job& v = books.jobs[ref.job];
+            Amounts& gone = taken[v.spec.team];
+            if (v.spec.priority >= s.priority &&
+                books.within_guarantee(v.spec.team, Amounts{} - gone)) {
+                continue;
             }
+            gone += v.spec.each;
+            free += v.spec.each;
+            cost += c;
+            chosen.push_back(ref);
         }
-        if (best == kNone) continue;
-        Machine& m = books.machines[best];
-        double save = 0;
-        for (TaskRef ref : best_victims) save = std::max(save, books.jobs[ref.job].spec.save_s);
-        spdlog::info("{} takes room on {}: {} tasks are stopped", s.id, m.name,
-                     best_victims.size());
-        m.kept_for = id;
-        m.kept_until = now + to_ms(save + 2 * term_.core.platform.report_s) + 3000;
-        m.kept_ready = now;
-        for (TaskRef ref : best_victims) {
-            fates_.halt(ref, books.jobs[ref.job].spec.save_s + 1, now, true);
+        if (chosen.empty() || !s.each.fits_in(free)) continue;
+        if (cost < best_cost) {
+            best_cost = cost;
+            best = mid;
+            best_victims = std::move(chosen);
         }
-        if (++made >= 2) return;
     }
+    if (best == kNone) return false;
+    Machine& m = books.machines[best];
+    double save = 0;
+    for (TaskRef ref : best_victims) save = std::max(save, books.jobs[ref.job].spec.save_s);
+    spdlog::info("{} takes room on {}: {} tasks are stopped", s.id, m.name, best_victims.size());
+    m.kept_for = id;
+    m.kept_until = now + to_ms(save + 2 * term_.core.platform.report_s) + 3000;
+    m.kept_ready = now;
+    for (TaskRef ref : best_victims) {
+        fates_.halt(ref, books.jobs[ref.job].spec.save_s + 1, now, true);
+    }
+    return true;
 }
 
 }  // namespace walkford
--- a/src/coordination/placer.hpp
+++ b/src/coordination/placer.hpp
@@ -4,6 +4,7 @@
 
 #include "coordination/core.hpp"
 #include "coordination/gatherer.hpp"
+#include "coordination/room_map.hpp"
 #include "coordination/term_fwd.hpp"
 
 namespace walkford {
@@ -17,27 +18,61 @@
     // One round, within the time budget; the next goes on where this one stopped.
     void round(Ms now, const WorkerDialogue& workers);
 
+    // How many times all waiting jobs were gone through.
+    std::uint64_t rounds() const { return rounds_; }
+
     // The waiting jobs in the order in which they are served.
     static int risen(const Job& j, Ms now, double rise_s);
     static std::vector<Id> waiting_order(const Books& books, Ms now, double rise_s);
 
   private:
-    std::uint32_t place_batch(Ms now, Id job, const std::vector<Id>& usable);
-    void replace_members(Ms now, Id job, const std::vector<Id>& usable);
-    bool place_gang(Ms now, Id job, const std::vector<Id>& usable);
-    // The first machine, in this task's order, that fits; kNone if none does.
-    Id choose(Id job, const std::vector<Id>& usable, Id zone_only) const;
+    using Score = std::tuple<int, double, int, double, Id>;
+    // The machines in the order in which tasks of one job try them. Looked at closely only as they
+    // come up: what a machine's place costs can but rise while others are filled, so an early
+    // guess that is too good is put right when its turn comes.
+    class Picker {
+      public:
+        Picker(const Placer& placer, Id job, Id zone_only);
+        Id next();      // the first machine that fits; kNone if none does
+        void placed();  // a task went there
+
+      private:
+        struct Entry {
+            Score score;
+            std::uint32_t sort;
+            std::uint32_t room;
+            bool operator<(const Entry& o) const { return o.score < score; }  // the least on top
+        };
+        const Placer& placer_;
+        Id job_;
+        std::vector<Entry> heap_;
+    };
+
+    void place_job(Ms now, Id job, const std::vector<Id>& usable);
+    std::uint32_t place_batch(Ms now, Id job);
+    void replace_members(Ms now, Id job);
+    bool place_gang(Ms now, Id job);
+    void put(TaskRef ref, Id machine, std::uint32_t attempt, Ms now);
+    // May a task of the job go there, as the job's other tasks stand; and how good a place it is.
+    bool admits(const Job& job, const RoomMap::Sort& sort) const;
+    std::optional<Score> score(Id job, const RoomMap::Sort& sort, const RoomMap::Room& room) const;
+    // How many tasks of the gang the zone (kNone: any) has room for; no further than it has tasks.
+    std::uint32_t places(Id job, Id zone) const;
     // What placing a task there takes away from classes that could use the room: slots lost, as a
     // share of all the slots such a class has left.
-    double regret(const Job& job, const Machine& m, const Kind& kind) const;
+    double regret(const Job& job, const RoomMap::Sort& sort, const Amounts& free) const;
     int fetching(const Machine& m) const;  // images on their way to it
-    void count_slots(Ms now, const std::vector<Id>& usable);
-    void take_slots(const Machine& m, const Amounts& each);
+    void count_slots(Ms now);
     // Can this class run on a kind of machine held that the other can't use?
     bool elsewhere(const JobSpec& one, const JobSpec& other) const;
     // Must the machine be left to classes with a tighter aim on starting?
-    bool kept(const Job& job, const Machine& m, const Kind& kind) const;
+    bool kept(const Job& job, const RoomMap::Sort& sort, const Amounts& free) const;
     void preempt(Ms now, const std::vector<Id>& usable);
+    bool preempt_for(Ms now, Id job, const std::vector<Id>& usable);
+    bool stoppable(const Job& victim, const Job& job, bool guaranteed) const;
+    static int rank_of(const Job& j);  // its priority, or what it has risen to
+    // The best that a place can be, known without a look at the machine's tasks and images.
+    static Score least_score(const Job& job, const RoomMap::Sort& sort, const RoomMap::Room& room);
     // Would the task be over before the room that is gathered there is complete?
     bool over_in_time(const JobSpec& s, const Machine& m, double fetch_s) const;
     // May this work be stopped to make room for that job's gang?
@@ -49,7 +84,13 @@
     Gatherer gatherer_;
     Ms now_ = 0;
     Ms next_ = 0;
+    Ms began_ = -1000000;  // the last round
+    std::uint64_t rounds_ = 0;
     Ms preempt_at_ = 0;
+    std::size_t preempt_cursor_ = 0;
+    std::map<std::pair<Id, Id>, Id> running_;  // class and team -> a job that could be stopped
+    RoomMap rooms_;
+    mutable std::size_t looked_ = 0;  // work done by this round
     std::vector<Id> order_;
     std::size_t cursor_ = 0;
     // Teams at their limit, this time round: the priority of who waits for it, by resource.
--- a/src/coordination/policy.hpp
+++ b/src/coordination/policy.hpp
@@ -30,6 +30,8 @@
     double takeover_probe_s = 5;
     double unseen_return_s = 45;
     double deaf_return_s = 25;
+    double settle_s = 0;
+    double idle_hold_s = 0;
     bool preempt = true;
     double preempt_after_s = 2;
     std::uint32_t keep_slots = 2;
--- a/src/coordination/scaler.cpp
+++ b/src/coordination/scaler.cpp
@@ -11,38 +11,65 @@
 
 namespace {
 constexpr Ms kTick = 500;
-constexpr std::uint32_t kTrialTasks = 1000;  // a trial packing looks no further
+constexpr std::uint32_t kTrialTasks = 20000;  // a trial packing looks no further ...
+constexpr std::size_t kMostLooked = 400000;    // ... nor at more rooms, each time it looks at one
+constexpr std::size_t kMostFull = 16;
+constexpr std::size_t kManySilent = 8;  // and a fifth of the fleet: more than machines that stop
+constexpr Ms kBackWithin = 20000;       // ... after their lease
+constexpr int kRentals = 24;  // for work that fits nowhere, in one go
 }  // namespace
 
+bool Scaler::back_soon(const Machine& m, Ms now) const {
+    return m.held && m.reported && !m.gone && !m.returning && !m.sick && m.notice_until < 0 &&
+           m.cloud != CloudStatus::failed && m.unheard == 0 &&
+           now < m.last_beat + to_ms(term_.core.platform.lease_s) + kBackWithin;
+}
+
+// Machines that fall silent by the dozen hang or stand behind a cut, and go on: a second fleet in
+// their place would be up when they are back. (The cloud's list tells those that died.)
+bool Scaler::many_silent(Ms now, const WorkerDialogue& workers) const {
+    std::size_t silent = 0, all = 0;
+    for (const Machine& m : term_.books.machines) {
+        if (!m.held || m.gone || !m.reported) continue;
+        ++all;
+        silent += back_soon(m, now) && !workers.usable(m, now);
+    }
+    return silent >= kManySilent && 5 * silent >= all;
+}
+
 void Scaler::survey(Ms now, const WorkerDialogue& workers, const CloudDialogue& cloud) {
     Books& books = term_.books;
     const Policy& policy = term_.core.policy;
     rooms_.clear();
+    held_.clear();
     measure_ = {};
+    bool together = many_silent(now, workers);
     for (Id id = 0; id < books.machines.size(); ++id) {
         const Machine& m = books.machines[id];
         const Kind* kind = books.kind(m.kind);
         if (m.gone || !m.held || !kind) continue;
+        ++held_[{m.kind, m.zone}];
         measure_.booked += m.used;
         bool up = workers.usable(m, now);
         // One on its way counts as capacity, or the rule rents twice; one that is late does not.
         bool booting = !m.reported && !m.returning &&
                        now < m.rented_at + to_ms(kind->boot_s * policy.boot_late) + 3000;
         bool settling = now < term_.elected_at + 6000 && !m.returning && !m.sick;
-        if (!up && !booting && !settling) {
+        bool silent = together && !up && back_soon(m, now);
+        if (!up && !booting && !settling && !silent) {
             // What is still booked there counts on both sides.
             measure_.capacity += m.used;
             continue;
         }
         measure_.capacity += kind->size;
-        rooms_.push_back({kind->size - m.used, m.kind, m.zone, m.spot, id, {}});
+        rooms_.push_back({kind->size - m.used, m.kind, m.zone, id, m.spot, false});
     }
     for (const Hire& h : cloud.hires()) {
         const Kind* kind = books.kind(h.kind);
         if (!kind) continue;
+        measure_.capacity += kind->size * h.count;
         for (std::uint32_t i = 0; i < h.count; ++i) {
-            measure_.capacity += kind->size;
-            rooms_.push_back({kind->size, h.kind, h.zone, h.spot, kNone, {}});
+            rooms_.push_back({kind->size, h.kind, h.zone, kNone, h.spot, false});
         }
     }
     // Waiting demand, as far as the teams' limits admit it.
@@ -91,69 +118,140 @@
     }
 }
 
-// A trial packing of what waits on what is there or on its way; what is left needs machines. Tasks
-// that must share a zone are counted zone by zone (places in two zones complete no gang), and those
-// that must be spread up to what each zone may hold.
-std::vector<Scaler::Demand> Scaler::unplaceable(std::vector<Room>& rooms) const {
-    const Books& books = term_.books;
-    std::vector<Demand> left;
+// A trial packing of what waits on what is there or on its way; what is left needs machines.
+void Scaler::pack_all(Ms now, CloudDialogue* cloud) {
+    left_.clear();
+    full_.clear();
+    looked_ = 0;
+    // Rooms too small for any of it are not looked at again for each job: in a full fleet that is
+    // most of them.
+    least_ = {1e18, 1e18, 1e18};
     for (const Demand& d : waiting_) {
-        const Job& j = books.jobs[d.job];
-        const JobSpec& s = j.spec;
-        std::uint32_t n = d.count;
-        if (!s.one_zone && !s.spread) {
-            pack(s, d.job, kNone, n, rooms);
-            if (n > 0) left.push_back({d.job, n, {{kNone, n}}});
-            continue;
+        const Amounts& each = term_.books.jobs[d.job].spec.each;
+        least_ = {std::min(least_.cpus, each.cpus), std::min(least_.gpus, each.gpus),
+                  std::min(least_.ram, each.ram)};
+    }
+    open_.clear();
+    filled_ = 0;
+    trial_ = rooms_;
+    for (std::uint32_t i = 0; i < trial_.size(); ++i) {
+        trial_[i].taken = false;
+        if (least_.fits_in(trial_[i].free)) open_.push_back(i);
+    }
+    int rented = 0;
+    for (const Demand& waiting : waiting_) {
+        if (looked_ > kMostLooked) break;
+        Demand d = waiting;
+        pack_one(d, !cloud);
+        while (d.count > 0 && cloud && rented < kRentals && rent_for(now, d, *cloud)) {
+            ++rented;
+            pack_one(d, false);
         }
-        std::vector<std::pair<std::uint32_t, Id>> places;  // by zone
-        for (Id zone = 0; zone < books.names.zones.size(); ++zone) {
-            std::uint32_t most = n;
-            auto here = j.zones.find(zone);
-            std::uint32_t had = here == j.zones.end() ? 0 : here->second;
-            if (s.one_zone && !j.zones.empty() && had == 0) continue;
-            if (s.spread) most = std::min(n, s.zone_most() - std::min(had, s.zone_most()));
-            std::uint32_t sum = 0;
-            for (const Room& r : rooms) {
-                if (r.zone == zone && sum < most)
-                    sum += Books::slots(s, r.kind, r.zone, r.spot, r.free);
-            }
-            if (most > 0) places.emplace_back(std::min(sum, most), zone);
+        if (d.count > 0 && cloud) pack_one(d, true);
+        if (d.count > 0) left_.push_back(std::move(d));
+    }
+}
+
+// Tasks that must share a zone are counted zone by zone (places in two zones complete no gang), and
+// those that must be spread up to what each zone may hold. Such a job is put somewhere only whole,
+// or in part at last (`finally`), when no more is to be rented for it.
+void Scaler::pack_one(Demand& d, bool finally) {
+    const Books& books = term_.books;
+    const Job& j = books.jobs[d.job];
+    const JobSpec& s = j.spec;
+    d.ways.clear();
+    if (!s.one_zone && !s.spread) {
+        if (!surely_full(s)) {
+            pack(s, kNone, d.count);
+            if (d.count > 0 && full_.size() < kMostFull) full_.push_back(d.job);
         }
-        std::stable_sort(places.begin(), places.end(),
-                         [](const auto& a, const auto& b) { return a.first > b.first; });
-        Demand rest{d.job, 0, {}};
-        if (s.one_zone) {
-            for (const auto& [sum, zone] : places) rest.ways.emplace_back(zone, n - sum);
-            if (!places.empty()) pack(s, d.job, places.front().second, n, rooms);
-        } else {
-            for (const auto& [sum, zone] : places) {
-                auto here = j.zones.find(zone);
-                std::uint32_t had = here == j.zones.end() ? 0 : here->second;
-                std::uint32_t take = std::min(sum, n);
-                n -= take;
-                std::uint32_t unpacked = take;
-                pack(s, d.job, zone, unpacked, rooms);
-                if (s.zone_most() > had + take)
-                    rest.ways.emplace_back(zone, s.zone_most() - had - take);
-            }
-            for (auto& way : rest.ways) way.second = std::min(way.second, n);
+        d.ways = {{kNone, d.count}};
+        return;
+    }
+    auto had_in = [&j](Id zone) {
+        auto here = j.zones.find(zone);
+        return here == j.zones.end() ? 0 : here->second;
+    };
+    std::vector<std::pair<std::uint32_t, Id>> sums;  // by zone
+    std::uint32_t total = 0;
+    for (Id zone = 0; zone < books.names.zones.size(); ++zone) {
+        std::uint32_t most = d.count;
+        std::uint32_t had = had_in(zone);
+        if (s.one_zone && !j.zones.empty() && had == 0) continue;
+        if (s.spread) most = std::min(most, s.zone_most() - std::min(had, s.zone_most()));
+        if (most == 0) continue;
+        std::uint32_t sum = places(s, zone, most);
+        sums.emplace_back(sum, zone);
+        total = s.one_zone ? std::max(total, sum) : total + sum;
+    }
+    std::stable_sort(sums.begin(), sums.end(),
+                     [](const auto& a, const auto& b) { return a.first > b.first; });
+    bool put = finally || total >= d.count;
+    std::uint32_t n = d.count;
+    if (s.one_zone) {
+        for (const auto& [sum, zone] : sums) d.ways.emplace_back(zone, d.count - sum);
+        if (put && !sums.empty()) pack(s, sums.front().second, n);
+    } else {
+        for (const auto& [sum, zone] : sums) {
+            std::uint32_t take = std::min(sum, n);
+            n -= take;
+            std::uint32_t unpacked = take;
+            if (put) pack(s, zone, unpacked);
+            if (s.zone_most() > had_in(zone) + take)
+                d.ways.emplace_back(zone, s.zone_most() - had_in(zone) - take);
         }
-        rest.count = n;
-        if (n > 0) left.push_back(std::move(rest));
+        for (auto& way : d.ways) way.second = std::min(way.second, n);
     }
-    return left;
+    if (put) d.count = n;
 }
 
-void Scaler::pack(const JobSpec& s, Id job, Id zone, std::uint32_t& n, std::vector<Room>& rooms) {
-    for (Room& r : rooms) {
-        if (n == 0) return;
-        if (zone != kNone && r.zone != zone) continue;
+// One like it, or smaller, has found no room since rooms were last added.
+bool Scaler::surely_full(const JobSpec& s) const {
+    return std::any_of(full_.begin(), full_.end(), [&](Id id) {
+        const JobSpec& f = term_.books.jobs[id].spec;
+        return f.any_kind == s.any_kind && f.kinds == s.kinds && f.zone == s.zone &&
+               f.spot == s.spot && f.each.cpus <= s.each.cpus && f.each.gpus <= s.each.gpus &&
+               f.each.ram <= s.each.ram;
+    });
+}
+
+std::uint32_t Scaler::places(const JobSpec& s, Id zone, std::uint32_t most) {
+    std::uint32_t sum = 0;
+    for (std::uint32_t i : open_) {
+        ++looked_;
+        const Room& r = trial_[i];
+        if (r.zone != zone || !s.each.fits_in(r.free)) continue;
+        sum += Books::slots(s, r.kind, r.zone, r.spot, r.free);
+        if (sum >= most) return most;
+    }
+    return sum;
+}
+
+void Scaler::pack(const JobSpec& s, Id zone, std::uint32_t& n) {
+    for (std::uint32_t i : open_) {
+        if (n == 0) break;
+        ++looked_;
+        Room& r = trial_[i];
+        if ((zone != kNone && r.zone != zone) || !s.each.fits_in(r.free)) continue;
         std::uint32_t k = std::min(n, Books::slots(s, r.kind, r.zone, r.spot, r.free));
         if (k == 0) continue;
         r.free -= s.each * k;
-        r.taken[job] += k;
+        r.taken = true;
         n -= k;
+        filled_ += !least_.fits_in(r.free);
+    }
+    if (filled_ * 4 < open_.size()) return;
+    std::erase_if(open_, [this](std::uint32_t i) { return !least_.fits_in(trial_[i].free); });
+    filled_ = 0;
+}
+
+void Scaler::add_rooms(const Option& o, std::uint32_t n) {
+    const Amounts& size = term_.books.kind(o.kind)->size;
+    full_.clear();
+    for (std::uint32_t i = 0; i < n; ++i) {
+        open_.push_back(static_cast<std::uint32_t>(rooms_.size()));
+        rooms_.push_back({size, o.kind, o.zone, kNone, o.spot, false});
+        trial_.push_back(rooms_.back());
     }
 }
 
@@ -184,21 +282,21 @@
         }
     }
     // Zones take turns: a wave or a cut takes one zone at a time.
-    std::map<std::pair<Id, Id>, int> held;
-    for (const Machine& m : books.machines) {
-        if (m.held && !m.gone) ++held[{m.kind, m.zone}];
-    }
+    auto held = [this](const Option& o) {
+        auto it = held_.find({o.kind, o.zone});
+        return it == held_.end() ? 0 : it->second;
+    };
     std::stable_sort(list.begin(), list.end(), [&](const Option& a, const Option& b) {
         if (policy.order == "cores" && a.cores != b.cores) return a.cores > b.cores;
         if (std::abs(a.cost - b.cost) > 1e-9) return a.cost < b.cost;
-        return held[{a.kind, a.zone}] < held[{b.kind, b.zone}];
+        return held(a) < held(b);
     });
     return list;
 }
 
 std::uint32_t Scaler::held_of(Id kind, const CloudDialogue& cloud) const {
     std::uint32_t n = 0;
-    for (const Machine& m : term_.books.machines) n += m.held && !m.gone && m.kind == kind;
+    for (const auto& [where, count] : held_) n += where.first == kind ? count : 0;
     for (const Hire& h : cloud.hires()) n += h.kind == kind ? h.count : 0;
     return n;
 }
@@ -231,35 +329,20 @@
                  cloud);
         if (n == 0) continue;
         need -= each * n;
-        for (std::uint32_t i = 0; i < n; ++i) {
-            rooms_.push_back({term_.books.kind(o.kind)->size, o.kind, o.zone, o.spot, kNone, {}});
-        }
+        add_rooms(o, n);
         out_at_ = now;
     }
 }
 
 // Exception: the fleet-wide share can't see a task that fits nowhere (kind, zone, spot,
 // fragmentation). The cheapest machine for it is rented, one option at a time.
-void Scaler::rent_for_unplaceable(Ms now, CloudDialogue& cloud) {
-    const Policy& policy = term_.core.policy;
-    if (!policy.rent_unplaceable) return;
-    Books& books = term_.books;
-    for (int guard = 0; guard < 24; ++guard) {
-        std::vector<Room> trial = rooms_;
-        left_ = unplaceable(trial);
-        bool rented = false;
-        for (const Demand& d : left_) {
-            const Job& j = books.jobs[d.job];
-            if (now < j.waiting_since + to_ms(policy.unplaceable_after_s)) continue;
-            std::vector<Option> all = options(&j.spec, -1, now, cloud);
-            for (const auto& [zone, count] : d.ways) {
-                rented = count > 0 && rent_places(now, j, zone, count, all, cloud);
-                if (rented) break;
-            }
-            if (rented) break;
-        }
-        if (!rented) return;
-    }
+bool Scaler::rent_for(Ms now, const Demand& d, CloudDialogue& cloud) {
+    const Job& j = term_.books.jobs[d.job];
+    if (now < j.waiting_since + to_ms(term_.core.policy.unplaceable_after_s)) return false;
+    std::vector<Option> all = options(&j.spec, -1, now, cloud);
+    return std::any_of(d.ways.begin(), d.ways.end(), [&](const auto& way) {
+        return way.second > 0 && rent_places(now, j, way.first, way.second, all, cloud);
+    });
 }
 
 bool Scaler::rent_places(Ms now, const Job& j, Id zone, std::uint32_t count,
@@ -273,9 +356,7 @@
         n = rent(now, o, n, fmt::format("{} has {} tasks that fit nowhere", j.spec.id, count),
                  cloud);
         if (n == 0) continue;
-        for (std::uint32_t i = 0; i < n; ++i) {
-            rooms_.push_back({kind->size, o.kind, o.zone, o.spot, kNone, {}});
-        }
+        add_rooms(o, n);
         out_at_ = now;
         return true;
     }
@@ -292,11 +373,9 @@
         static_cast<std::uint32_t>(std::clamp<Ms>((now - in_at_) / interval, 0, kTick / interval));
     if (due == 0) due = now >= in_at_ ? 1 : 0;
     if (due == 0) return;
-    std::vector<Room> trial = rooms_;
-    left_ = unplaceable(trial);
     std::set<Id> wanted;
-    for (const Room& r : trial) {
-        if (!r.taken.empty() && r.machine != kNone) wanted.insert(r.machine);
+    for (const Room& r : trial_) {
+        if (r.taken && r.machine != kNone) wanted.insert(r.machine);
     }
     std::vector<std::pair<double, Id>> empty;
     // Below the low mark one goes; above it only one that has stood empty for long: a measure held
@@ -351,12 +430,14 @@
     survey(now, workers, cloud);
     // A new leader has not heard all machines yet: it waits one interval before it rents.
     if (out_at_ < 0) out_at_ = term_.elected_at;
-    std::vector<Room> trial = rooms_;
-    left_ = unplaceable(trial);
+    pack_all(now, nullptr);
     tell(now, workers);
     if (at_once || now >= out_at_ + to_ms(term_.core.policy.out_interval_s)) {
+        std::size_t had = rooms_.size();
         rent_by_rule(now, cloud);
-        rent_for_unplaceable(now, cloud);
+        if (!left_.empty() || rooms_.size() > had) {
+            pack_all(now, term_.core.policy.rent_unplaceable ? &cloud : nullptr);
+        }
     }
     give_back(now, cloud);
 }
--- a/src/coordination/scaler.hpp
+++ b/src/coordination/scaler.hpp
@@ -27,9 +27,9 @@
         Amounts free;
         Id kind = kNone;
         Id zone = kNone;
-        bool spot = false;
         Id machine = kNone;
-        std::map<Id, std::uint32_t> taken;  // job -> tasks put here by the trial packing
+        bool spot = false;
+        bool taken = false;  // the trial packing put something here
     };
     struct Demand {  // waiting tasks of one job that the team's limit admits
         Id job = kNone;
@@ -48,16 +48,26 @@
     };
 
     void tell(Ms now, const WorkerDialogue& workers);
+    // Machines that are silent, but not for so long that they are given up.
+    bool back_soon(const Machine& m, Ms now) const;
+    bool many_silent(Ms now, const WorkerDialogue& workers) const;
     void survey(Ms now, const WorkerDialogue& workers, const CloudDialogue& cloud);
-    std::vector<Demand> unplaceable(std::vector<Room>& rooms) const;
+    // A trial packing of what waits; left_ becomes what fits nowhere. With `cloud`, machines are
+    // rented for that on the way.
+    void pack_all(Ms now, CloudDialogue* cloud);
+    // Puts the demand where there is room and says how many more places would do.
+    void pack_one(Demand& d, bool finally);
     // Puts up to n tasks into the rooms of a zone; n becomes what is left over.
-    static void pack(const JobSpec& s, Id job, Id zone, std::uint32_t& n, std::vector<Room>& rooms);
+    void pack(const JobSpec& s, Id zone, std::uint32_t& n);
+    std::uint32_t places(const JobSpec& s, Id zone, std::uint32_t most);
+    bool surely_full(const JobSpec& s) const;
     bool rent_places(Ms now, const Job& j, Id zone, std::uint32_t count,
                      const std::vector<Option>& all, CloudDialogue& cloud);
+    void add_rooms(const Option& o, std::uint32_t n);
     std::vector<Option> options(const JobSpec* for_job, int resource, Ms now,
                                 const CloudDialogue& cloud) const;
     void rent_by_rule(Ms now, CloudDialogue& cloud);
-    void rent_for_unplaceable(Ms now, CloudDialogue& cloud);
+    bool rent_for(Ms now, const Demand& d, CloudDialogue& cloud);
     void give_back(Ms now, CloudDialogue& cloud);
     std::uint32_t held_of(Id kind, const CloudDialogue& cloud) const;
     // How many were asked for.
@@ -71,6 +81,15 @@
     Ms told_at_ = 0;
     Measure measure_;
     std::vector<Room> rooms_;
+    // The trial packing: the rooms as it fills them, those that still have room, the least that
+    // any task needs, and jobs that found none.
+    std::vector<Room> trial_;
+    std::vector<std::uint32_t> open_;
+    std::size_t filled_ = 0;
+    Amounts least_;
+    std::vector<Id> full_;
+    std::size_t looked_ = 0;  // work done by it
+    std::map<std::pair<Id, Id>, std::uint32_t> held_;  // machines by kind and zone
     std::vector<Demand> waiting_;
     std::vector<Demand> left_;
 };
--- a/src/coordination/user_desk.cpp
+++ b/src/coordination/user_desk.cpp
@@ -11,7 +11,7 @@
 // time is given back at once, with when to come again.
 constexpr Ms kWriteBudget = 4000;
 constexpr Ms kPollBudget = 1500;
-constexpr std::size_t kMostOpen = 400;
+constexpr std::size_t kLeastOpen = 400;  // ... by as many as a third of the node's sockets
 }  // namespace
 
 void UserDesk::answer(RequestId request, UserAnswer a) {
@@ -102,7 +102,7 @@
 
 bool UserDesk::admit(Ms now, RequestId request, const std::string& id, Ms budget) {
     open_[request] = Open{id, now + budget};
-    if (open_.size() <= kMostOpen) return true;
+    if (open_.size() <= std::max<std::size_t>(kLeastOpen, core_.platform.fd_limit / 3)) return true;
     refuse(request, 503, "too many requests wait", 2);
     return false;
 }
--- a/src/coordination/worker_dialogue.cpp
+++ b/src/coordination/worker_dialogue.cpp
@@ -2,12 +2,15 @@
 
 #include <spdlog/spdlog.h>
 
+#include <algorithm>
+
 #include "coordination/leader.hpp"
 
 namespace walkford {
 
 namespace {
 constexpr Ms kLeaseMargin = 1200;
+constexpr Ms kHeldEvery = 20;
 constexpr std::uint32_t kDeafAfter = 2;  // answers not taken in, in a row: it gets nothing more
 }  // namespace
 
@@ -29,8 +32,6 @@
         term_.core.out.emplace_back(std::move(a));
         return;
     }
-    a.code = 200;
-    a.token = term_.token;
     Id id = books.find_machine(r.machine);
     if (id == kNone) {
         id = books.add_machine(r.machine, books.names.kinds.intern(r.kind),
@@ -39,19 +40,119 @@
     }
     Machine& m = books.machines[id];
     if (!r.address.empty()) m.address = r.address;
-    if (take(now, id, r, true)) {
+    if (!take(now, id, r, true)) {
+        // Also a copy that came late is answered: whoever asked may get it, and its lease counts
+        // from it.
+        a.code = 200;
+        a.token = term_.token;
+        m.last_ok = now;
+        term_.core.out.emplace_back(std::move(a));
+        return;
+    }
+    m.last_beat = now;
+    if (auto it = held_.find(id); it != held_.end()) {
+        // Its worker has given up on the one before, or that was a copy: no orders for it.
+        a.request = it->second.request;
+        a.code = 200;
+        a.token = term_.token;
+        held_.erase(it);
+        term_.core.out.emplace_back(std::move(a));
+    }
+    bool idle = false;
+    if (Ms span = hold_for(m, r, idle); span > 0) {
+        held_[id] = {q.request, r, now + span, idle, rounds_};
+        return;
+    }
+    answer(now, id, q.request, r);
+}
+
+WorkerDialogue::~WorkerDialogue() {
+    for (const auto& [id, held] : held_) {
+        BeatAnswer a;
+        a.request = held.request;
+        a.code = 503;
+        term_.core.out.emplace_back(std::move(a));
+    }
+}
+
+void WorkerDialogue::answer(Ms now, Id id, RequestId request, const WorkerReport& r) {
+    BeatAnswer a;
+    a.request = request;
+    Machine& m = term_.books.machines[id];
+    if (now >= term_.answer_until || m.gone) {
+        a.code = 503;
+    } else {
+        a.code = 200;
+        a.token = term_.token;
         a.orders = orders(now, id, r);
-        m.last_beat = now;
         if (m.answered_tick == 0) m.told_token_tick = r.tick;
         m.answered_session = r.session;
         m.answered_tick = r.tick;
+        m.last_ok = now;
     }
-    // Also for a copy that came late: whoever asked may get this answer, and its lease counts from
-    // it.
-    m.last_ok = now;
     term_.core.out.emplace_back(std::move(a));
 }
 
+bool WorkerDialogue::unsettled(Id id, const WorkerReport& r) const {
+    Books& books = term_.books;
+    return std::any_of(r.tasks.begin(), r.tasks.end(), [&](const ReportedTask& t) {
+        if (t.state != TaskState::exited) return false;
+        Id job = books.find_job(t.job);
+        if (job == kNone || t.task >= books.jobs[job].spec.tasks) return false;
+        const Task& task = books.task({job, t.task});
+        return task.c_machine == id && task.c_attempt == t.attempt && !task.c_done &&
+               !(task.machine == id && task.attempt == t.attempt);
+    });
+}
+
+Ms WorkerDialogue::hold_for(const Machine& m, const WorkerReport& r, bool& idle) const {
+    const Policy& policy = term_.core.policy;
+    bool may_run = term_.act && m.held && m.confirmed && !m.returning && !m.sick &&
+                   m.notice_until < 0 && m.unheard == 0 && r.token == term_.token;
+    // Each takes a socket, of which most are for reports that are not held.
+    if (!may_run || held_.size() >= term_.core.platform.fd_limit / 4) return 0;
+    // One with nothing to do waits for work; one with tasks would have to keep their news to
+    // itself meanwhile.
+    idle = r.tasks.empty() && m.tasks.empty();
+    if (idle) return to_ms(policy.idle_hold_s);
+    // Room has just become free, or something was placed there just now.
+    bool news = unsettled(term_.books.find_machine(m.name), r) ||
+                std::any_of(m.tasks.begin(), m.tasks.end(), [&](TaskRef ref) {
+                    const Task& t = term_.books.task(ref);
+                    return t.phase == Phase::placed && !t.inherited && !t.durable_here();
+                });
+    return news ? to_ms(policy.settle_s) : 0;
+}
+
+bool WorkerDialogue::ready(Id id, const Held& held, std::uint64_t rounds) const {
+    const Machine& m = term_.books.machines[id];
+    bool placed = false;
+    for (TaskRef ref : m.tasks) {
+        const Task& t = term_.books.task(ref);
+        if (t.phase != Phase::placed || t.inherited) continue;
+        if (!t.durable_here()) return false;
+        placed = true;
+    }
+    if (m.gone || m.returning) return true;
+    if (held.idle) return placed;
+    return rounds > held.rounds && !unsettled(id, held.report);
+}
+
+void WorkerDialogue::answer_held(Ms now, std::uint64_t rounds) {
+    rounds_ = rounds;
+    if (now < held_at_) return;
+    held_at_ = now + kHeldEvery;
+    for (auto it = held_.begin(); it != held_.end();) {
+        if (now >= it->second.until || now >= term_.answer_until || !term_.act ||
+            ready(it->first, it->second, rounds)) {
+            answer(now, it->first, it->second.request, it->second.report);
+            it = held_.erase(it);
+        } else {
+            ++it;
+        }
+    }
+}
+
 // A machine has one report open at a time, so a later one shows what became of the answer before:
 // a token it should have seen and does not show, a session that ended although we answered, a task
 // it was told to run and does not have (see take). One lost packet is no more than that; several in
--- a/src/coordination/worker_dialogue.hpp
+++ b/src/coordination/worker_dialogue.hpp
@@ -9,13 +9,34 @@
 class WorkerDialogue {
   public:
     WorkerDialogue(Term& term, Fates& fates) : term_(term), fates_(fates) {}
+    ~WorkerDialogue();
+    WorkerDialogue(const WorkerDialogue&) = delete;
+    WorkerDialogue& operator=(const WorkerDialogue&) = delete;
 
     void beat(Ms now, const BeatRequest& beat);
     void tick(Ms now);
+    // Answers the held reports whose orders are ready, or whose time is over. `rounds`: how many
+    // rounds of placing are complete.
+    void answer_held(Ms now, std::uint64_t rounds);
     // The machine answers beats, under our token, and may be given work.
     bool usable(const Machine& m, Ms now) const;
 
   private:
+    // A report whose answer waits a little for what it should carry: `run` travels in answers only,
+    // and the next one comes a report interval later.
+    struct Held {
+        RequestId request = 0;
+        WorkerReport report;
+        Ms until = 0;
+        bool idle = false;
+        std::uint64_t rounds = 0;
+    };
+    // How long its answer may wait; 0: not at all.
+    Ms hold_for(const Machine& m, const WorkerReport& r, bool& idle) const;
+    bool ready(Id machine, const Held& held, std::uint64_t rounds) const;
+    void answer(Ms now, Id machine, RequestId request, const WorkerReport& r);
+    // Did the report tell of an end that is not yet durable?
+    bool unsettled(Id machine, const WorkerReport& r) const;
     // Takes in what a report says; false if it is an old one.
     bool take(Ms now, Id machine, const WorkerReport& report, bool is_beat);
     // Do its reports show that our answers arrive?
@@ -30,6 +51,9 @@
     Term& term_;
     Fates& fates_;
     Ms check_at_ = 0;
+    std::map<Id, Held> held_;  // by machine
+    std::uint64_t rounds_ = 0;
+    Ms held_at_ = 0;
 };
 
 }  // namespace walkford
--- a/src/protocol/wire.cpp
+++ b/src/protocol/wire.cpp
@@ -431,7 +431,7 @@
             h.body = pack(Json{{"walkers", c.names}});
             break;
         case CloudVerb::list:
-            h.path = "/machines?most=200";
+            h.path = "/machines?most=500";
             if (!c.after.empty()) h.path += "&after=" + c.after;
             break;
     }
--- a/src/transport/http_server.cpp
+++ b/src/transport/http_server.cpp
@@ -4,6 +4,7 @@
 #include <netinet/in.h>
 #include <spdlog/spdlog.h>
 
+#include <algorithm>
 #include <stdexcept>
 
 namespace walkford::transport {
@@ -48,8 +49,9 @@
     }
 }
 
-void send(evhttp_request* request, const protocol::HttpReply& reply) {
+void send(evhttp_request* request, const protocol::HttpReply& reply, bool close = false) {
     evkeyvalq* headers = evhttp_request_get_output_headers(request);
+    if (close) evhttp_add_header(headers, "Connection", "close");
     evhttp_add_header(headers, "Content-Type", "application/msgpack");
     if (reply.retry_after_s > 0) {
         evhttp_add_header(headers, "Retry-After", std::to_string(reply.retry_after_s).c_str());
@@ -74,14 +76,40 @@
     evhttp_set_timeout(http_.get(), kIdleSeconds);
     evhttp_set_gencb(http_.get(), on_request, this);
     auto [host, port] = split_address(address);
-    evhttp_bound_socket* bound = evhttp_bind_socket_with_handle(http_.get(), host.c_str(), port);
-    if (!bound) throw std::runtime_error("can't listen on " + address);
     sockaddr_in name{};
+    name.sin_family = AF_INET;
+    name.sin_port = htons(port);
+    if (inet_pton(AF_INET, host.c_str(), &name.sin_addr) != 1) {
+        throw std::runtime_error("not an IPv4 address: " + address);
+    }
+    // evhttp's own socket lets 128 wait; after an election two thousand workers come at once.
+    int backlog = static_cast<int>(std::min<std::size_t>(std::max<std::size_t>(most, 128), 4096));
+    Listener listener(evconnlistener_new_bind(
+        base, nullptr, nullptr,
+        LEV_OPT_CLOSE_ON_FREE | LEV_OPT_CLOSE_ON_EXEC | LEV_OPT_REUSEABLE, backlog,
+        reinterpret_cast<sockaddr*>(&name), sizeof name));
+    if (!listener) throw std::runtime_error("can't listen on " + address);
     socklen_t size = sizeof name;
-    if (getsockname(evhttp_bound_socket_get_fd(bound), reinterpret_cast<sockaddr*>(&name), &size) ==
-        0) {
+    if (getsockname(evconnlistener_get_fd(listener.get()), reinterpret_cast<sockaddr*>(&name),
+                    &size) == 0) {
         port_ = ntohs(name.sin_port);
     }
+    if (!evhttp_bind_listener(http_.get(), listener.get())) {
+        throw std::runtime_error("can't listen on " + address);
+    }
+    evconnlistener_set_error_cb(listener.release(), on_accept_error);  // the server's from now on
+}
+
+// No socket is left: the listener would be told again and again that somebody waits.
+void HttpServer::on_accept_error(evconnlistener* listener, void*) {
+    evconnlistener_disable(listener);
+    timeval soon{0, 50000};
+    event_base_once(evconnlistener_get_base(listener), -1, EV_TIMEOUT, on_accept_again, listener,
+                    &soon);
+}
+
+void HttpServer::on_accept_again(evutil_socket_t, short, void* listener) {
+    evconnlistener_enable(static_cast<evconnlistener*>(listener));
 }
 
 HttpServer::~HttpServer() {
@@ -147,19 +175,23 @@
     evhttp_request* request = it->second;
     open_.erase(it);
     auto c = connections_.find(evhttp_request_get_connection(request));
+    bool worker = c != connections_.end() && c->second.worker;
     if (c != connections_.end() && c->second.open > 0) --c->second.open;
-    send(request, reply);
+    // With more workers than sockets, those who come while it is crowded connect anew each time:
+    // one that is closed with its answer loses nothing, one that is closed between two may be
+    // just about to report.
+    send(request, reply, worker && connections_.size() * 4 > most_ * 3);
 }
 
-// Sockets are few: a user's connection that has been idle longest goes first, so that workers,
-// peers and the state service always find room.
+// Sockets are few: the connection that has been idle longest goes first, a user's before a worker's,
+// so that peers, the state service and whoever is being answered always find room.
 void HttpServer::shed() {
     if (connections_.size() <= most_) return;
     evhttp_connection* victim = nullptr;
-    std::uint64_t oldest = clock_;
+    std::pair<bool, std::uint64_t> oldest{true, clock_};
     for (const auto& [connection, info] : connections_) {
-        if (!info.worker && info.open == 0 && info.used < oldest) {
-            oldest = info.used;
+        if (info.open == 0 && std::pair{info.worker, info.used} < oldest) {
+            oldest = {info.worker, info.used};
             victim = connection;
         }
     }
--- a/src/transport/http_server.hpp
+++ b/src/transport/http_server.hpp
@@ -32,6 +32,8 @@
     };
     static void on_request(evhttp_request* request, void* self);
     static void on_close(evhttp_connection* connection, void* self);
+    static void on_accept_error(evconnlistener* listener, void*);
+    static void on_accept_again(evutil_socket_t, short, void* listener);
     void take(evhttp_request* request);
     void shed();
 
--- a/src/transport/process.cpp
+++ b/src/transport/process.cpp
@@ -13,7 +13,8 @@
 constexpr long kWatchTimeout = 24000;
 constexpr long kCloudTimeout = 4500;
 constexpr long kWorkerTimeout = 3000;
-constexpr std::size_t kMostWorkerLines = 48;
+// Commands to workers behind a cut wait for their end, and the others behind them.
+constexpr std::size_t kWorkerLines = 48;
 
 std::uint64_t random_seed() {
     std::random_device device;
@@ -39,7 +40,8 @@
     });
     event_base* base = base_.get();
     // Connections to state, cloud, workers and peers come first; users and workers get the rest.
-    std::size_t reserve = 16 + kMostWorkerLines + 4 * platform_.peers.size();
+    most_worker_lines_ = std::max<std::size_t>(kWorkerLines, platform_.fd_limit / 16);
+    std::size_t reserve = 16 + most_worker_lines_ + 4 * platform_.peers.size();
     std::size_t most =
         platform_.fd_limit > 2 * reserve ? platform_.fd_limit - reserve : platform_.fd_limit / 2;
     server_ = std::make_unique<HttpServer>(base, platform_.serve_on, most,
@@ -129,7 +131,7 @@
 void Process::call_worker(WorkerCall call) {
     auto it = workers_.find(call.address);
     if (it == workers_.end()) {
-        if (workers_.size() >= kMostWorkerLines) {
+        if (workers_.size() >= most_worker_lines_) {
             step(WorkerReply{call.call, 0, std::nullopt});
             return;
         }
--- a/src/transport/process.hpp
+++ b/src/transport/process.hpp
@@ -38,6 +38,7 @@
         Ms used = 0;
     };
     std::map<std::string, WorkerLine> workers_;
+    std::size_t most_worker_lines_ = 0;
     Event wake_;
     bool stepping_ = false;
     std::deque<Input> pending_;
--- a/tests/records_test.cpp
+++ b/tests/records_test.cpp
@@ -2,6 +2,7 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <random>
 #include <set>
 
@@ -90,37 +91,90 @@
 
 // The largest deployment: 662 machines, the longest names that a cloud gives, in every combination
 // of kind, zone, mark and sort, with hires open, within the state service's 4 KiB.
+// Half as many again as the largest fleet, of 6,000 that were rented during the day: what remains of
+// hires of every size, in four zones, a tenth on its way back, and a dozen hires open. In decimal
+// steps it would not fit; what does not fit can't be rented.
 TEST(RegistryTest, HoldsTheLargestFleetInOneSmallValue) {
     Names names;
     Registry r;
     r.next_hire = 99999;
     r.first_rented = true;
     const char* kinds[] = {"chhota", "madhyam", "gajraj"};
-    const char* zones[] = {"sabarmati", "tapi"};
-    for (int i = 0; i < 662; ++i) {
+    const char* zones[] = {"sabarmati", "tapi", "mahi-right-bank", "narmada-canal"};
+    std::mt19937 rng(7);
+    auto upto = [&](unsigned n) { return static_cast<unsigned>(rng() % n); };
+    std::vector<Held> rented;
+    while (rented.size() < 6000) {
         Held h;
-        h.name = "host-" + std::to_string(100000 + i * 7);  // with gaps: many came and went
-        h.kind = names.kinds.intern(kinds[i % 3]);
-        h.zone = names.zones.intern(zones[(i / 3) % 2]);
-        h.spot = (i / 6) % 2 != 0;
-        h.permanent = i < 100;
-        h.returning = i % 50 == 0;
+        h.kind = names.kinds.intern(kinds[upto(3)]);
+        h.zone = names.zones.intern(zones[upto(4)]);
+        h.spot = upto(2) == 0;
+        for (unsigned left = 1 + upto(50); left > 0 && rented.size() < 6000; --left) {
+            h.name = "host-" + std::to_string(100000 + rented.size());
+            rented.push_back(h);
+        }
+    }
+    std::shuffle(rented.begin(), rented.end(), rng);
+    rented.resize(2000);
+    for (Held& h : rented) {
+        h.permanent = upto(20) == 0;
+        h.returning = upto(10) == 0;
         r.machines.push_back(h);
     }
     for (int i = 0; i < 12; ++i) {
         r.hires.push_back({"w1234567-9999" + std::to_string(i), names.kinds.intern(kinds[i % 3]),
-                           names.zones.intern(zones[i % 2]), i % 2 == 0, 50, false});
+                           names.zones.intern(zones[i % 4]), i % 2 == 0, 50, false});
     }
     Json v = encode_registry(r, names);
     EXPECT_LE(v.dump().size(), 4096U);
     auto back = decode_registry(v, names);
     ASSERT_TRUE(back);
-    std::set<std::string> had, has;
-    for (const Held& h : r.machines)
-        had.insert(h.name + (h.spot ? "s" : "o") + (h.permanent ? "p" : "t"));
-    for (const Held& h : back->machines)
-        has.insert(h.name + (h.spot ? "s" : "o") + (h.permanent ? "p" : "t"));
+    auto all = [](const Registry& held) {
+        std::set<std::string> list;
+        for (const Held& h : held.machines) {
+            list.insert(h.name + (h.spot ? "s" : "o") + (h.permanent ? "p" : "t") +
+                        (h.returning ? "r" : "h") + std::to_string(h.kind) + "/" +
+                        std::to_string(h.zone));
+        }
+        return list;
+    };
+    EXPECT_EQ(all(r), all(*back));
+    EXPECT_EQ(back->machines.size(), 2000U);
+}
+
+// Steps of every length come back, also beyond what two characters hold; what is no coding of ours
+// is told from one.
+TEST(RegistryTest, NumbersOfEveryDistanceComeBack) {
+    Names names;
+    Registry r;
+    r.first_rented = true;
+    std::uint64_t number = 0;
+    std::set<std::string> had;
+    for (std::uint64_t step : {0ULL, 1ULL, 1ULL, 1ULL, 55ULL, 56ULL, 57ULL, 58ULL, 1ULL, 2540ULL,
+                               2541ULL, 2542ULL, 99999ULL, 1ULL, 123456789012ULL}) {
+        number += step;
+        std::string name = std::to_string(number);
+        name = "m" + std::string(15 - name.size(), '0') + name;
+        had.insert(name);
+        r.machines.push_back({name, names.kinds.intern("k"), names.zones.intern("z"), false, false,
+                              false});
+    }
+    for (int i = 0; i < 40; ++i) {  // a run longer than one character holds
+        std::string name = std::to_string(++number);
+        name = "m" + std::string(15 - name.size(), '0') + name;
+        had.insert(name);
+        r.machines.push_back({name, 0, 0, false, false, false});
+    }
+    Json v = encode_registry(r, names);
+    auto back = decode_registry(v, names);
+    ASSERT_TRUE(back);
+    std::set<std::string> has;
+    for (const Held& h : back->machines) has.insert(h.name);
     EXPECT_EQ(had, has);
+    v["m"][0][5] = "\x01";
+    EXPECT_FALSE(decode_registry(v, names));
+    v["m"][0][5] = "z";  // the first half of a step
+    EXPECT_FALSE(decode_registry(v, names));
 }
 
 TEST(RegistryTest, ReadsWhatTheFirstVersionWrote) {
--- a/tests/standin/world.cpp
+++ b/tests/standin/world.cpp
@@ -236,6 +236,8 @@
     policy_.lost_return_s = 5;
     policy_.no_capacity_backoff_s = 3;
     policy_.deaf_return_s = o_.deaf_return_s;
+    policy_.settle_s = 0.3;
+    policy_.idle_hold_s = 1.5;
     kind_names_ = {"small", "big"};
     kinds_ = {{0, {8, 0, 32}, 50, 1, 0.4, 0.1, 4, {0, 1}},
               {1, {32, 4, 128}, 50, 1, 4, 1, 5, {0, 1}}};
