A machine whose report is held is not taken for lost; troubles of many machines in the stand-in world

Tests: held answers, a fleet of 2,000 machines with 20,000 waiting tasks (work counted), sockets shared, rents before lists, and in the world machines that hang together, a zone cut off, a controller that stands still.

--- a/src/bookkeeping/books.hpp
+++ b/src/bookkeeping/books.hpp
@@ -78,9 +78,9 @@
     Ms not_before = 0;
     int rank = 0;  // the priority it has risen to by waiting
     Ms waiting_since = 0;
-    Ms gather_at = -1;  // gang: when room for it is next planned ...
+    Ms gather_at = -1;       // gang: when room for it is next planned ...
     bool gathering = false;  // ... and whether machines are kept for it
-    Ms replace_by = -1;  // gang: members lost before it began are to be replaced until then
+    Ms replace_by = -1;      // gang: members lost before it began are to be replaced until then
 
     std::uint32_t waiting() const {
         return spec.tasks - next_fresh + static_cast<std::uint32_t>(again.size());
--- a/src/bookkeeping/records.cpp
+++ b/src/bookkeeping/records.cpp
@@ -185,8 +185,8 @@
 }
 
 // The numbers of a row as text, of printable characters without an escape: a step to the next
-// number takes one of them up to 56, two up to 2,540, else ten; and up to 9 numbers that follow each
-// other without a gap take one. (As decimal steps, 662 machines filled a value of 4 KiB.)
+// number takes one of them up to 56, two up to 2,540, else ten; and up to 9 numbers that follow
+// each other without a gap take one. (As decimal steps, 662 machines filled a value of 4 KiB.)
 class Steps {
   public:
     static std::string write(const std::vector<std::uint64_t>& numbers) {
@@ -331,7 +331,8 @@
         Registry r;
         r.next_hire = v.at("n").get<std::uint64_t>();
         r.first_rented = v.at("f").get<int>() != 0;
-        // Before 0.2 a row held the names themselves and the numbers in full; 0.2 had decimal steps.
+        // Before 0.2 a row held the names themselves and the numbers in full; 0.2 had decimal
+        // steps.
         bool listed = v.contains("k");
         auto name = [&](const char* list, const Json& at) {
             return listed ? v.at(list).at(at.get<std::size_t>()).get<std::string>()
@@ -366,8 +367,8 @@
                 auto steps = Steps::read(row.at(2).get<std::string>());
                 if (!steps) return std::nullopt;
                 for (std::uint64_t number : *steps) {
-                    marked.insert(join_name(row.at(0).get<std::string>(), row.at(1).get<int>(),
-                                            number));
+                    marked.insert(
+                        join_name(row.at(0).get<std::string>(), row.at(1).get<int>(), number));
                 }
             }
             for (Held& h : r.machines) {
--- a/src/coordination/gatherer.cpp
+++ b/src/coordination/gatherer.cpp
@@ -9,7 +9,7 @@
 namespace walkford {
 
 namespace {
-constexpr Ms kKeepFor = 2500;         // renewed by every round that still finds the gang waiting
+constexpr Ms kKeepFor = 2500;  // renewed by every round that still finds the gang waiting
 // A plan looks at every task of every machine: the next for that gang waits as long as this one has
 // earned, on a small fleet not at all. (Plans a second old cost 0.12 of a busy day: what had become
 // free was kept for nobody, and what was kept was no longer needed.)
--- a/src/coordination/io.hpp
+++ b/src/coordination/io.hpp
@@ -102,7 +102,7 @@
     std::uint64_t token = 0;           // the highest known
     std::string leader;                // and whose it is
     std::int64_t state_quiet_ms = -1;  // since the state service last answered; -1: never did
-    std::uint64_t revision = 0;      // the highest that the state service ever answered it
+    std::uint64_t revision = 0;        // the highest that the state service ever answered it
     std::int64_t up_ms = 0;
     std::int64_t beat_quiet_ms = -1;  // since a worker last reported to it; -1: none did
 };
--- a/src/coordination/leader.hpp
+++ b/src/coordination/leader.hpp
@@ -20,6 +20,13 @@
     Ms answer_until = 0;  // until then beats may be answered 200
     bool place_now = true;
     bool rent_now = false;  // the cloud ran out of one kind: the next is asked for at once
+    // What the last round of placing and the last trial packing looked at: their measure where no
+    // clock is to decide.
+    struct Work {
+        std::size_t placing = 0;
+        std::size_t packing = 0;
+    };
+    Work work;
     std::function<void(Ms, const char*)> depose;
     std::function<void(Ms)> refresh;  // asks for a proven view
     // Calls that outlive the term find this gone.
--- a/src/coordination/placer.cpp
+++ b/src/coordination/placer.cpp
@@ -18,7 +18,7 @@
 // A round ends after so many looks at a machine, if its time isn't spent before.
 constexpr std::size_t kMostLooked = 400000;
 constexpr int kMostPreemptions = 8;  // jobs that look for work to stop, in one go
-constexpr Ms kShapeKept = 600000;  // a class not seen for so long is not kept room for
+constexpr Ms kShapeKept = 600000;    // a class not seen for so long is not kept room for
 // Placements not yet written are bounded: more would only wait for the state service.
 constexpr std::uint32_t kMostPerJob = 256;
 }  // namespace
@@ -109,9 +109,8 @@
     for (std::size_t i = 0; i < lane_slots_.size(); ++i) {
         const JobSpec& other = books.shapes[i].spec;
         if (books.shapes[i].lane == job.spec.lane) continue;
-        double lost =
-            Books::slots(other, sort.kind, sort.zone, sort.spot, free) -
-            Books::slots(other, sort.kind, sort.zone, sort.spot, free - job.spec.each);
+        double lost = Books::slots(other, sort.kind, sort.zone, sort.spot, free) -
+                      Books::slots(other, sort.kind, sort.zone, sort.spot, free - job.spec.each);
         if (lost <= 0 || lane_slots_[i] - lost >= term_.core.policy.keep_slots) continue;
         // Only from those who have somewhere else to go; for those with a tighter aim, or who have
         // not.
@@ -451,6 +450,7 @@
             break;
         }
     }
+    term_.work.placing = looked_;
     if (cursor_ >= order_.size()) ++rounds_;
     if (term_.core.policy.preempt && now >= preempt_at_) {
         preempt_at_ = now + 500;
@@ -533,9 +533,7 @@
     if (made < 2 && tried < kMostPreemptions) preempt_cursor_ = 0;  // all were looked at
 }
 
-int Placer::rank_of(const Job& j) {
-    return std::max(static_cast<int>(j.spec.priority), j.rank);
-}
+int Placer::rank_of(const Job& j) { return std::max(static_cast<int>(j.spec.priority), j.rank); }
 
 // May the victim's work make room for the job, by priority or by guarantee?
 bool Placer::stoppable(const Job& v, const Job& j, bool guaranteed) const {
--- a/src/coordination/scaler.cpp
+++ b/src/coordination/scaler.cpp
@@ -12,11 +12,11 @@
 namespace {
 constexpr Ms kTick = 500;
 constexpr std::uint32_t kTrialTasks = 20000;  // a trial packing looks no further ...
-constexpr std::size_t kMostLooked = 400000;    // ... nor at more rooms, each time it looks at one
+constexpr std::size_t kMostLooked = 400000;   // ... nor at more rooms, each time it looks at one
 constexpr std::size_t kMostFull = 16;
 constexpr std::size_t kManySilent = 8;  // and a fifth of the fleet: more than machines that stop
 constexpr Ms kBackWithin = 20000;       // ... after their lease
-constexpr int kRentals = 24;  // for work that fits nowhere, in one go
+constexpr int kRentals = 24;            // for work that fits nowhere, in one go
 }  // namespace
 
 bool Scaler::back_soon(const Machine& m, Ms now) const {
@@ -150,6 +150,7 @@
         if (d.count > 0 && cloud) pack_one(d, true);
         if (d.count > 0) left_.push_back(std::move(d));
     }
+    term_.work.packing = looked_;
 }
 
 // Tasks that must share a zone are counted zone by zone (places in two zones complete no gang), and
--- a/src/coordination/scaler.hpp
+++ b/src/coordination/scaler.hpp
@@ -88,7 +88,7 @@
     std::size_t filled_ = 0;
     Amounts least_;
     std::vector<Id> full_;
-    std::size_t looked_ = 0;  // work done by it
+    std::size_t looked_ = 0;                           // work done by it
     std::map<std::pair<Id, Id>, std::uint32_t> held_;  // machines by kind and zone
     std::vector<Demand> waiting_;
     std::vector<Demand> left_;
--- a/src/coordination/worker_dialogue.cpp
+++ b/src/coordination/worker_dialogue.cpp
@@ -55,6 +55,7 @@
         a.request = it->second.request;
         a.code = 200;
         a.token = term_.token;
+        m.last_ok = now;
         held_.erase(it);
         term_.core.out.emplace_back(std::move(a));
     }
@@ -462,8 +463,9 @@
         Machine& m = books.machines[id];
         if (m.gone) continue;
         // A worker we have not answered for longer than its lease, and that obeys no older leader,
-        // has killed all its tasks.
-        if (m.token_seen && !m.lost && now > std::max(m.last_ok, m.token_seen_at) + lease) {
+        // has killed all its tasks. (One whose report is open here is alive.)
+        if (m.token_seen && !m.lost && !held_.count(id) &&
+            now > std::max(m.last_ok, m.token_seen_at) + lease) {
             m.lost = true;
             m.min_session = m.session + 1;
             m.notice_until = -1;
--- a/src/transport/http_server.cpp
+++ b/src/transport/http_server.cpp
@@ -85,9 +85,8 @@
     // evhttp's own socket lets 128 wait; after an election two thousand workers come at once.
     int backlog = static_cast<int>(std::min<std::size_t>(std::max<std::size_t>(most, 128), 4096));
     Listener listener(evconnlistener_new_bind(
-        base, nullptr, nullptr,
-        LEV_OPT_CLOSE_ON_FREE | LEV_OPT_CLOSE_ON_EXEC | LEV_OPT_REUSEABLE, backlog,
-        reinterpret_cast<sockaddr*>(&name), sizeof name));
+        base, nullptr, nullptr, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_CLOSE_ON_EXEC | LEV_OPT_REUSEABLE,
+        backlog, reinterpret_cast<sockaddr*>(&name), sizeof name));
     if (!listener) throw std::runtime_error("can't listen on " + address);
     socklen_t size = sizeof name;
     if (getsockname(evconnlistener_get_fd(listener.get()), reinterpret_cast<sockaddr*>(&name),
@@ -183,8 +182,8 @@
     send(request, reply, worker && connections_.size() * 4 > most_ * 3);
 }
 
-// Sockets are few: the connection that has been idle longest goes first, a user's before a worker's,
-// so that peers, the state service and whoever is being answered always find room.
+// Sockets are few: the connection that has been idle longest goes first, a user's before a
+// worker's, so that peers, the state service and whoever is being answered always find room.
 void HttpServer::shed() {
     if (connections_.size() <= most_) return;
     evhttp_connection* victim = nullptr;
--- a/tests/leader_test.cpp
+++ b/tests/leader_test.cpp
@@ -64,7 +64,8 @@
         q.report.tasks = std::move(tasks);
         leader->beat(now, q);
         drain();
-        return answers[q.request].orders;
+        auto it = answers.find(q.request);  // none yet: the answer is held
+        return it == answers.end() ? std::vector<Order>{} : it->second.orders;
     }
     JobSpec spec(const std::string& id, double cpus, std::uint32_t tasks = 1, bool gang = false) {
         JobSpec s;
@@ -547,6 +548,198 @@
     EXPECT_TRUE(repeated);
 }
 
+// `run` travels in answers only. Answered at once, the report of an end found the next task of its
+// machine not yet durable, and the place stood empty until the next report, 5 s later.
+TEST(Reports, TheAnswerWaitsForWhatItShouldCarry) {
+    for (bool hold : {true, false}) {
+        Bench w([&](Bench& b) { b.policy.settle_s = hold ? 0.4 : 0; });
+        w.lead({{"host-1", 0}});
+        w.job(w.spec("j-first", 8));
+        w.pass(200);
+        ASSERT_EQ(w.beat("host-1").size(), 1U);
+        w.job(w.spec("j-next", 8));
+        w.pass(200);
+        w.beat("host-1", {{"j-first", 0, 1, TaskState::exited, "done", false}});
+        bool at_once = w.answers.count(w.tick) > 0;
+        w.pass(200);
+        ASSERT_TRUE(w.answers.count(w.tick));
+        std::vector<Order> orders = w.answers[w.tick].orders;
+        EXPECT_EQ(at_once, !hold);
+        EXPECT_EQ(orders.size(), hold ? 2U : 0U);
+        if (orders.size() != 2) continue;
+        EXPECT_EQ(orders[0].verb, OrderVerb::clear);
+        EXPECT_EQ(orders[1].verb, OrderVerb::run);
+        EXPECT_EQ(orders[1].job, "j-next");
+    }
+}
+
+// ... and not for long: where the state service is slow, the worker's lease must not wait for it.
+TEST(Reports, AnAnswerIsNotHeldForLong) {
+    Bench w([](Bench& b) { b.policy.settle_s = 0.4; });
+    w.lead({{"host-1", 0}});
+    w.job(w.spec("j-first", 8));
+    w.pass(200);
+    w.beat("host-1");
+    w.answer_writes = false;
+    w.beat("host-1", {{"j-first", 0, 1, TaskState::exited, "done", false}});
+    w.pass(350);
+    EXPECT_FALSE(w.answers.count(w.tick));
+    w.pass(100);
+    ASSERT_TRUE(w.answers.count(w.tick));
+    EXPECT_EQ(w.answers[w.tick].code, 200);
+    EXPECT_TRUE(w.answers[w.tick].orders.empty());  // the end is not durable: nothing is cleared
+}
+
+TEST(Reports, AnIdleMachineIsAnsweredOnceItIsGivenWork) {
+    Bench w([](Bench& b) { b.policy.idle_hold_s = 2.5; });
+    w.lead({{"host-1", 0}});
+    w.pass(2600);  // the first report is answered for want of work
+    ASSERT_TRUE(w.answers.count(w.tick));
+    w.beat("host-1");
+    RequestId held = w.tick;
+    w.pass(1000);
+    EXPECT_FALSE(w.answers.count(held));
+    w.job(w.spec("j-work", 8));
+    w.pass(100);
+    ASSERT_TRUE(w.answers.count(held));
+    ASSERT_EQ(w.answers[held].orders.size(), 1U);
+    EXPECT_EQ(w.answers[held].orders[0].verb, OrderVerb::run);
+    // With a task it is answered at once: its news must not wait.
+    w.beat("host-1", {{"j-work", 0, 1, TaskState::running, "", false}});
+    EXPECT_TRUE(w.answers.count(w.tick));
+}
+
+// A machine that came back after its lease and whose report was held was taken for lost at once,
+// since its last answer lay a lease back; its later reports then counted as older than the loss,
+// and it stood there unused.
+TEST(Reports, AMachineWhoseReportIsHeldIsNotLost) {
+    Bench w([](Bench& b) {
+        b.policy.idle_hold_s = 2.5;
+        b.policy.mark_low = 0;  // it is kept
+        b.policy.idle_cost = 0;
+    });
+    w.lead({{"host-1", 0}});
+    w.pass(14000);
+    ASSERT_TRUE(w.books().machines[0].lost);
+    w.beat("host-1", {}, 50, 2);
+    w.pass(500);
+    EXPECT_FALSE(w.answers.count(w.tick));
+    EXPECT_FALSE(w.books().machines[0].lost);
+}
+
+// Who leads no more owes an answer to every report it holds.
+TEST(Reports, HeldOnesAreSentElsewhereAtTheEndOfATerm) {
+    Bench w([](Bench& b) { b.policy.idle_hold_s = 2.5; });
+    w.lead({{"host-1", 0}});
+    w.beat("host-1");
+    RequestId held = w.tick;
+    ASSERT_FALSE(w.answers.count(held));
+    w.leader.reset();
+    w.drain();
+    ASSERT_TRUE(w.answers.count(held));
+    EXPECT_EQ(w.answers[held].code, 503);
+}
+
+// Twelve machines of twenty fall silent together and are back after their lease. A second fleet
+// would be up when they are back; one that stays away is replaced.
+TEST(Scaling, MachinesThatFallSilentTogetherAreNotReplacedAtOnce) {
+    for (std::size_t silent : {std::size_t{12}, std::size_t{3}}) {
+        Bench w([](Bench& b) {
+            b.policy.mark_low = 0.8;
+            b.policy.mark_high = 0.95;
+            b.platform.teams[0].limit = {0, 0, 0};
+        });
+        std::vector<std::pair<std::string, int>> hosts;
+        for (int i = 0; i < 20; ++i) hosts.emplace_back("host-" + std::to_string(10 + i), 0);
+        w.lead(hosts);
+        w.job(w.spec("j-work", 8, 19));
+        w.pass(500);
+        auto all_beat = [&](std::size_t from) {
+            for (std::size_t i = from; i < hosts.size(); ++i) {
+                std::vector<ReportedTask> tasks;
+                for (std::uint32_t t = 0; t < 19; ++t) {
+                    if (w.where("j-work", t) == hosts[i].first)
+                        tasks.push_back({"j-work", t, 1, TaskState::running, "", false});
+                }
+                w.beat(hosts[i].first, tasks);
+            }
+        };
+        all_beat(0);
+        all_beat(0);
+        Ms began = w.now;
+        int early = 0;
+        while (w.now < began + 60000) {
+            w.pass(1000);
+            all_beat(silent);
+            if (w.now <= began + 29000) early = w.hires("small");
+        }
+        EXPECT_EQ(early > 0, silent == 3) << silent;
+        EXPECT_GT(w.hires("small"), 0) << silent;
+    }
+}
+
+// Two thousand machines and twenty thousand tasks that wait, in jobs of one, of thirty and gangs of
+// eight: no step looks at much more than its share, and those at the end of the line get their
+// turn.
+TEST(Fleet, NoStepIsLongAndNobodyStarves) {
+    Bench w([](Bench& b) {
+        for (Team& t : b.platform.teams) t.limit = {0, 0, 0};
+        b.policy.mark_low = 0.8;
+        b.policy.mark_high = 0.95;
+        b.policy.rent_unplaceable = false;
+        b.platform.state_write_rps = 1e6;
+        b.platform.report_s = 30;  // all are up all the time
+        b.platform.lease_s = 100;
+    });
+    std::vector<std::pair<std::string, int>> hosts;
+    for (int i = 0; i < 2000; ++i) hosts.emplace_back("host-" + std::to_string(10000 + i), i % 2);
+    w.lead(hosts);
+    int next = 0;
+    auto add = [&](int jobs, std::uint32_t tasks, double cpus, bool gang) {
+        for (int i = 0; i < jobs; ++i) {
+            JobSpec s = w.spec("j-" + std::to_string(next++), cpus, tasks, gang);
+            s.team = static_cast<Id>(next % 2);
+            s.one_zone = gang;
+            w.job(s);
+        }
+    };
+    add(4000, 1, 2, false);
+    add(467, 30, 1, false);
+    add(250, 8, 4, true);
+    std::size_t placing = 0, packing = 0;
+    for (int step = 0; step < 400; ++step) {
+        w.pass(50);
+        placing = std::max(placing, w.leader->term().work.placing);
+        packing = std::max(packing, w.leader->term().work.packing);
+    }
+    EXPECT_GT(placing, 0U);
+    EXPECT_GT(packing, 0U);
+    // Shares are 400,000 looks each; one job's own part may come on top.
+    EXPECT_LT(placing, 500000U);
+    EXPECT_LT(packing, 500000U);
+    std::size_t waiting = 0;
+    for (const Job& j : w.books().jobs) waiting += j.alive && j.placed == 0;
+    EXPECT_EQ(waiting, 0U);
+}
+
+// Two thousand machines are listed in four pages; whoever rents or gives back does not wait behind
+// them.
+TEST(Pacing, RentsGoBeforeLists) {
+    CloudDesk desk(2.5);  // two calls a second
+    Outputs out;
+    for (CloudVerb verb :
+         {CloudVerb::list, CloudVerb::list, CloudVerb::give_back, CloudVerb::hire}) {
+        CloudCall c;
+        c.verb = verb;
+        desk.call(std::move(c), [](Ms, const CloudReply&) {});
+    }
+    std::vector<CloudVerb> order;
+    for (Ms now = 0; now <= 3000; now += 100) desk.pump(now, out);
+    for (const Output& o : out) order.push_back(std::get<CloudCall>(o).verb);
+    EXPECT_EQ(order, (std::vector{CloudVerb::give_back, CloudVerb::hire, CloudVerb::list,
+                                  CloudVerb::list}));
+}
+
 TEST(ViewTest, AnOldChangeDoesNotUndoANewerDrop) {
     Names names;
     names.teams.intern("red");
--- a/tests/loopback_test.cpp
+++ b/tests/loopback_test.cpp
@@ -15,6 +15,7 @@
 #include "protocol/pack.hpp"
 #include "transport/event_types.hpp"
 #include "transport/http_client.hpp"
+#include "transport/http_server.hpp"
 
 namespace walkford::transport {
 namespace {
@@ -399,6 +400,65 @@
               "done");
 }
 
+// A worker's report, once over a socket of its own that stays open; what came back.
+std::string report_over(event_base* base, int fd) {
+    std::string body = pack(Json{{"walker", "host-1"},
+                                 {"build", "b"},
+                                 {"yard", "a"},
+                                 {"loaners", false},
+                                 {"stint", 1},
+                                 {"tick", 1},
+                                 {"baton", 0},
+                                 {"pieces", Json::array()}});
+    std::string request =
+        "POST /agent/beat HTTP/1.1\r\nHost: x\r\nContent-Length: " + std::to_string(body.size()) +
+        "\r\n\r\n" + body;
+    EXPECT_EQ(write(fd, request.data(), request.size()), static_cast<ssize_t>(request.size()));
+    std::string got;
+    for (int turn = 0; turn < 2000 && got.find("\r\n\r\n") == std::string::npos; ++turn) {
+        event_base_loop(base, EVLOOP_NONBLOCK);
+        char buffer[4096];
+        ssize_t n = recv(fd, buffer, sizeof buffer, MSG_DONTWAIT);
+        if (n > 0) got.append(buffer, static_cast<std::size_t>(n));
+        if (n <= 0) usleep(500);
+    }
+    return got;
+}
+
+// More workers than sockets: once it is crowded, an answer takes its connection along, and beyond
+// the limit the connection idle longest goes. No one is refused.
+TEST(Sockets, WorkersShareTheConnectionsThereAre) {
+    EventBase base(event_base_new());
+    std::unique_ptr<HttpServer> server;
+    server = std::make_unique<HttpServer>(base.get(), "127.0.0.1:0", 8, [&](const Input& in) {
+        BeatAnswer a;
+        a.request = std::get<BeatRequest>(in).request;
+        a.code = 200;
+        a.token = 1;
+        server->answer(a.request, protocol::encode(a));
+    });
+    std::vector<int> fds;
+    int kept = 0, closed = 0;
+    for (int i = 0; i < 40; ++i) {
+        int fd = socket(AF_INET, SOCK_STREAM, 0);
+        sockaddr_in a{};
+        a.sin_family = AF_INET;
+        a.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        a.sin_port = htons(server->port());
+        ASSERT_EQ(connect(fd, reinterpret_cast<sockaddr*>(&a), sizeof a), 0);
+        fds.push_back(fd);
+        std::string got = report_over(base.get(), fd);
+        EXPECT_EQ(got.substr(0, 15), "HTTP/1.1 200 OK") << i;
+        (got.find("Connection: close") == std::string::npos ? kept : closed) += 1;
+        EXPECT_LE(server->connections(), 8U);
+    }
+    EXPECT_GE(kept, 4);
+    EXPECT_GE(closed, 20);
+    for (int fd : fds) close(fd);
+    for (int turn = 0; turn < 20; ++turn) event_base_loop(base.get(), EVLOOP_NONBLOCK);
+    server.reset();
+}
+
 TEST(CommandLine, SaysWhatIsWrongAndExitsWithTwo) {
     auto run = [](const std::string& args) {
         FILE* p = popen((std::string(WALKFORD_BINARY) + " " + args + " 2>&1").c_str(), "r");
--- a/tests/records_test.cpp
+++ b/tests/records_test.cpp
@@ -91,9 +91,9 @@
 
 // The largest deployment: 662 machines, the longest names that a cloud gives, in every combination
 // of kind, zone, mark and sort, with hires open, within the state service's 4 KiB.
-// Half as many again as the largest fleet, of 6,000 that were rented during the day: what remains of
-// hires of every size, in four zones, a tenth on its way back, and a dozen hires open. In decimal
-// steps it would not fit; what does not fit can't be rented.
+// Half as many again as the largest fleet, of 6,000 that were rented during the day: what remains
+// of hires of every size, in four zones, a tenth on its way back, and a dozen hires open. In
+// decimal steps it would not fit; what does not fit can't be rented.
 TEST(RegistryTest, HoldsTheLargestFleetInOneSmallValue) {
     Names names;
     Registry r;
@@ -156,8 +156,8 @@
         std::string name = std::to_string(number);
         name = "m" + std::string(15 - name.size(), '0') + name;
         had.insert(name);
-        r.machines.push_back({name, names.kinds.intern("k"), names.zones.intern("z"), false, false,
-                              false});
+        r.machines.push_back(
+            {name, names.kinds.intern("k"), names.zones.intern("z"), false, false, false});
     }
     for (int i = 0; i < 40; ++i) {  // a run longer than one character holds
         std::string name = std::to_string(++number);
--- a/tests/standin/world.cpp
+++ b/tests/standin/world.cpp
@@ -210,6 +210,7 @@
     Ms offset = 0;
     Ms wake = -1;
     bool led = false;
+    Ms frozen_until = -1;  // it stands still while its clock runs on; what arrives waits
     std::map<RequestId, std::function<void(UserAnswer)>> users;
     std::map<RequestId, std::function<void(BeatAnswer)>> beats;
 };
@@ -336,6 +337,12 @@
 void World::feed(std::size_t i, const Input& input) {
     Host& h = *hosts_[i];
     if (!h.node) return;
+    if (now_ < h.frozen_until) {
+        at(h.frozen_until, [this, i, input, life = h.life] {
+            if (hosts_[i]->life == life) feed(i, input);
+        });
+        return;
+    }
     Ms clock = h.offset + static_cast<Ms>(static_cast<double>(now_) * h.rate);
     Outputs out = h.node->step(clock, input);
     if (h.node->leading() != h.led) {
@@ -1090,7 +1097,7 @@
     };
     int kind =
         o_.only.empty()
-            ? static_cast<int>(pick(0, 15))
+            ? static_cast<int>(pick(0, 18))
             : o_.only[static_cast<std::size_t>(pick(0, static_cast<int>(o_.only.size()) - 1))];
     well_since_ = std::max(well_since_, now_);
     switch (kind) {
@@ -1174,6 +1181,35 @@
             });
             break;
         }
+        case 16: {
+            // Most machines hang at once, about as long as their lease.
+            Ms span = static_cast<Ms>(kRealLease * 1000) + pick(-4000, 12000);
+            for (auto& [name, w] : workers_) {
+                if (chance(0.7)) cut(name, "*", span, true);
+            }
+            break;
+        }
+        case 17: {
+            // A zone is cut off: its machines and a controller, which still hear each other.
+            Ms span = pick(5000, 50000);
+            bool hold = chance(0.7);
+            std::string zone = zones_[static_cast<std::size_t>(pick(0, 1))];
+            for (std::size_t k = 0; k < o_.nodes; ++k) {
+                if (k == i) continue;
+                std::string other = "n" + std::to_string(k);
+                cut(node, other, span, hold);
+                for (auto& [name, w] : workers_) {
+                    cut(w->zone == zone ? other : node, name, span, hold);
+                }
+            }
+            cut(node, "state", span, hold);
+            cut(node, "cloud", span, hold);
+            break;
+        }
+        case 18:
+            hosts_[i]->frozen_until = now_ + pick(500, 35000);
+            well_since_ = std::max(well_since_, hosts_[i]->frozen_until);
+            break;
         case 15:
             // Several controllers at once, back within a fraction of a second, and again while they
             // elect a leader.
--- a/tests/world_test.cpp
+++ b/tests/world_test.cpp
@@ -106,7 +106,7 @@
         EXPECT_GT(deaf, 10);
     }
 }
-INSTANTIATE_TEST_SUITE_P(Alone, Troubles, testing::Range(0, 16));
+INSTANTIATE_TEST_SUITE_P(Alone, Troubles, testing::Range(0, 19));
 
 TEST(TroublesTogether, KeepTheRulesAndEveryJobIsServed) {
     for (std::uint64_t seed = 1; seed <= 24; ++seed) {
@@ -144,8 +144,8 @@
     EXPECT_GT(found, 0);
 }
 
-// However long nobody reaches the state service: while all controllers live and vouch for one another,
-// nothing can have been cancelled, and no lease need run out.
+// However long nobody reaches the state service: while all controllers live and vouch for one
+// another, nothing can have been cancelled, and no lease need run out.
 TEST(Outage, WithAllControllersUpCostsNoTask) {
     int over = 0, began = 0;
     for (std::uint64_t seed = 1; seed <= 12; ++seed) {
