--- a/src/coordination/placer.cpp
+++ b/src/coordination/placer.cpp
@@ -24,13 +24,13 @@
 }  // namespace
 
 // One that has not begun rises by a priority each time it has waited so long again: strict priority
-// would let the lowest wait for ever while higher work keeps coming.
+// would let the lowest wait for ever while higher work keeps coming. The rest of one that has begun
+// waits by its own priority: under several times the usual load the arrays begun first took every
+// place for the rest of the day, and less than half of their class ever began.
 int Placer::risen(const Job& j, Ms now, double rise_s) {
-    int own = rank_of(j);
+    int own = static_cast<int>(j.spec.priority);
     if (rise_s <= 0 || j.placed > 0 || j.done > 0) return own;
-    return std::clamp(static_cast<int>(j.spec.priority) +
-                          static_cast<int>((now - j.waiting_since) / to_ms(rise_s)),
-                      own, 4);
+    return std::clamp(own + static_cast<int>((now - j.waiting_since) / to_ms(rise_s)), own, 4);
 }
 
 std::vector<Id> Placer::waiting_order(const Books& books, Ms now, double rise_s) {
@@ -467,7 +467,7 @@
     // take every bit of it that frees up, and a large one would starve.
     const JobSpec& s = j.spec;
     // What it has risen to it keeps, or it would be stopped again as soon as it began.
-    j.rank = risen(j, now, policy.rise_s);
+    j.rank = std::max(j.rank, risen(j, now, policy.rise_s));
     std::uint32_t least = s.gang && j.placed == 0 ? s.tasks : 1;
     Blocked& blocked = blocked_[s.team];
     auto rank = static_cast<int>(s.priority);
--- a/tests/leader_test.cpp
+++ b/tests/leader_test.cpp
@@ -309,6 +309,34 @@
     return -1;
 }
 
+// Two arrays, one place. The first has begun only after it had risen; what it has risen to protects
+// its tasks, and is no reason why the other should wait for all of them. (On a day with six times
+// the usual scoring jobs, 67 of 187 had begun; now 177.)
+TEST(Placing, AnArrayBeginsBeforeTheRestOfOneThatHasBegun) {
+    Bench w;
+    w.lead({{"host-1", 0}});
+    auto run = [&w](const char* id, std::uint32_t task, Ms span) {
+        w.pass(500);
+        for (Ms end = w.now + span; w.now < end; w.pass(1000)) {
+            w.beat("host-1", {{id, task, 1, TaskState::running, "", false}});
+        }
+        w.beat("host-1", {{id, task, 1, TaskState::exited, "done", false}});
+        w.pass(500);
+    };
+    w.job(w.spec("j-before", 8));
+    w.pass(500);
+    w.job(w.spec("j-first", 8, 40));
+    run("j-before", 0, 110000);
+    ASSERT_EQ(w.where("j-first"), "host-1");
+    w.job(w.spec("j-other", 8, 40));
+    Ms began = w.now;
+    std::uint32_t done = 0;
+    while (w.where("j-other").empty() && done < 30) run("j-first", done++, 8000);
+    EXPECT_FALSE(w.where("j-other").empty());
+    EXPECT_GE(w.now - began, 100000);
+    EXPECT_LE(w.now - began, 130000);
+}
+
 TEST(Placing, RoomIsGatheredForALargeGangWithinABound) {
     Ms after = gang_begins_after(Policy{}.gather);
     EXPECT_GE(after, 0);
