--- a/src/coordination/placer.cpp
+++ b/src/coordination/placer.cpp
@@ -240,29 +240,12 @@
     std::make_heap(heap_.begin(), heap_.end());
 }
 
-Id Placer::Picker::next() {
-    while (!heap_.empty()) {
-        Entry& top = heap_.front();
-        const RoomMap::Sort& sort = placer_.rooms_.sorts()[top.sort];
-        const RoomMap::Room& room = sort.rooms[top.room];
-        ++placer_.looked_;
-        std::optional<Score> real = placer_.score(job_, sort, room);
-        if (real && !(top.score < *real)) return room.machine;
-        std::pop_heap(heap_.begin(), heap_.end());
-        if (real) {
-            heap_.back().score = *real;
-            std::push_heap(heap_.begin(), heap_.end());
-        } else {
-            heap_.pop_back();
-        }
-    }
-    return kNone;
-}
-
-void Placer::Picker::placed() {
-    // Its image may be on its way now, so the same machine may have become a better place.
-    Entry& top = heap_.front();
+// Looks closely at the machine on top, and moves or drops it; nothing where it is no place (any
+// more).
+std::optional<Placer::Score> Placer::Picker::put_right() {
+    const Entry& top = heap_.front();
     const RoomMap::Sort& sort = placer_.rooms_.sorts()[top.sort];
+    ++placer_.looked_;
     std::optional<Score> real = placer_.score(job_, sort, sort.rooms[top.room]);
     std::pop_heap(heap_.begin(), heap_.end());
     if (real) {
@@ -271,8 +254,21 @@
     } else {
         heap_.pop_back();
     }
+    return real;
 }
 
+Id Placer::Picker::next() {
+    while (!heap_.empty()) {
+        Id machine = std::get<Id>(heap_.front().score);
+        std::optional<Score> real = put_right();
+        if (real && std::get<Id>(heap_.front().score) == machine) return machine;
+    }
+    return kNone;
+}
+
+// (Its image may be on its way now, so the same machine may have become a better place.)
+void Placer::Picker::placed() { put_right(); }
+
 std::uint32_t Placer::place_batch(Ms now, Id id) {
     Books& books = term_.books;
     std::uint32_t placed = 0;
--- a/src/coordination/placer.hpp
+++ b/src/coordination/placer.hpp
@@ -43,6 +43,7 @@
             std::uint32_t room;
             bool operator<(const Entry& o) const { return o.score < score; }  // the least on top
         };
+        std::optional<Score> put_right();
         const Placer& placer_;
         Id job_;
         std::vector<Entry> heap_;
