--- a/src/protocol/settings_file.cpp
+++ b/src/protocol/settings_file.cpp
@@ -145,6 +145,16 @@
     if (params.has("machine_limits")) {
         Reader limits = params.child("machine_limits");
         p.fd_limit = static_cast<std::uint32_t>(limits.number_or("fd_limit", 512, 32, 1e7));
+        // Served all the same; but whoever wonders later should find a line.
+        auto few = [&](const char* name, double has, double least) {
+            if (has >= least) return;
+            std::ostringstream note;
+            note << limits.where(name) << ": " << has << " is little, " << least
+                 << " or more is needed to serve well";
+            notes.push_back(note.str());
+        };
+        few("fd_limit", p.fd_limit, 160.0 + 8.0 * static_cast<double>(p.peers.size()));
+        few("ram_mb", limits.number_or("ram_mb", 1e6, 0, 1e9), 16);
     }
     return p;
 }
--- a/tests/protocol_test.cpp
+++ b/tests/protocol_test.cpp
@@ -238,6 +238,18 @@
     EXPECT_EQ(notes.size(), 1U);  // the objective of unknown kind
 }
 
+// Less than the deployment needs is served with what there is, and said in one line each.
+TEST(Settings, FewSocketsAndLittleMemoryAreSaid) {
+    std::vector<std::string> notes;
+    Json s = good_settings();
+    s["params"]["machine_limits"]["fd_limit"] = 64;
+    s["params"]["machine_limits"]["ram_mb"] = 4.0;
+    EXPECT_EQ(read_platform(s.dump(), notes).fd_limit, 64U);
+    ASSERT_EQ(notes.size(), 2U);
+    EXPECT_NE(notes[0].find("fd_limit"), std::string::npos);
+    EXPECT_NE(notes[1].find("ram_mb"), std::string::npos);
+}
+
 TEST(Settings, BadOnesNameTheField) {
     EXPECT_NE(refusal("{"), "");
     EXPECT_NE(refusal("[]"), "");
