--- a/tests/standin/world.cpp
+++ b/tests/standin/world.cpp
@@ -1055,6 +1055,8 @@
 // ---- troubles
 
 void World::cut(const std::string& a, const std::string& b, Ms span, bool hold, bool one_way) {
+    // Every message looks at all of them.
+    std::erase_if(cuts_, [this](const Cut& c) { return now_ >= c.until; });
     cuts_.push_back({a, b, now_ + span, hold, one_way});
     well_since_ = std::max(well_since_, now_ + span);
 }
