The connection whose request is being taken is never the one that goes

Found by reading the change: with every other connection busy, a user's fresh one counted as the one idle longest and was freed while its request was being read. Test with all sockets held by reports.

--- a/src/transport/http_server.cpp
+++ b/src/transport/http_server.cpp
@@ -189,7 +189,8 @@
     evhttp_connection* victim = nullptr;
     std::pair<bool, std::uint64_t> oldest{true, clock_};
     for (const auto& [connection, info] : connections_) {
-        if (info.open == 0 && std::pair{info.worker, info.used} < oldest) {
+        // Never the one whose request is being taken: it is the last one used.
+        if (info.open == 0 && info.used < clock_ && std::pair{info.worker, info.used} < oldest) {
             oldest = {info.worker, info.used};
             victim = connection;
         }
--- a/tests/loopback_test.cpp
+++ b/tests/loopback_test.cpp
@@ -400,8 +400,22 @@
               "done");
 }
 
-// A worker's report, once over a socket of its own that stays open; what came back.
-std::string report_over(event_base* base, int fd) {
+// One request over a socket that stays open; what came back.
+std::string exchange(event_base* base, int fd, const std::string& request, int turns) {
+    EXPECT_EQ(write(fd, request.data(), request.size()), static_cast<ssize_t>(request.size()));
+    std::string got;
+    for (int turn = 0; turn < turns && got.find("\r\n\r\n") == std::string::npos; ++turn) {
+        event_base_loop(base, EVLOOP_NONBLOCK);
+        char buffer[4096];
+        ssize_t n = recv(fd, buffer, sizeof buffer, MSG_DONTWAIT);
+        if (n > 0) got.append(buffer, static_cast<std::size_t>(n));
+        if (n <= 0) usleep(500);
+    }
+    return got;
+}
+
+// A worker's report.
+std::string report_over(event_base* base, int fd, int turns = 2000) {
     std::string body = pack(Json{{"walker", "host-1"},
                                  {"build", "b"},
                                  {"yard", "a"},
@@ -413,16 +427,7 @@
     std::string request =
         "POST /agent/beat HTTP/1.1\r\nHost: x\r\nContent-Length: " + std::to_string(body.size()) +
         "\r\n\r\n" + body;
-    EXPECT_EQ(write(fd, request.data(), request.size()), static_cast<ssize_t>(request.size()));
-    std::string got;
-    for (int turn = 0; turn < 2000 && got.find("\r\n\r\n") == std::string::npos; ++turn) {
-        event_base_loop(base, EVLOOP_NONBLOCK);
-        char buffer[4096];
-        ssize_t n = recv(fd, buffer, sizeof buffer, MSG_DONTWAIT);
-        if (n > 0) got.append(buffer, static_cast<std::size_t>(n));
-        if (n <= 0) usleep(500);
-    }
-    return got;
+    return exchange(base, fd, request, turns);
 }
 
 // More workers than sockets: once it is crowded, an answer takes its connection along, and beyond
@@ -459,6 +464,33 @@
     server.reset();
 }
 
+// All sockets are taken by reports whose answers are held: none of them goes, and neither does the
+// user who comes on top of them while his request is being taken.
+TEST(Sockets, WhoIsBeingServedKeepsHisConnection) {
+    EventBase base(event_base_new());
+    HttpServer server(base.get(), "127.0.0.1:0", 4, [](const Input&) {});
+    auto connected = [&server] {
+        int fd = socket(AF_INET, SOCK_STREAM, 0);
+        sockaddr_in a{};
+        a.sin_family = AF_INET;
+        a.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        a.sin_port = htons(server.port());
+        EXPECT_EQ(connect(fd, reinterpret_cast<sockaddr*>(&a), sizeof a), 0);
+        return fd;
+    };
+    std::vector<int> fds;
+    for (int i = 0; i < 4; ++i) {
+        fds.push_back(connected());
+        EXPECT_EQ(report_over(base.get(), fds.back(), 40), "");
+    }
+    fds.push_back(connected());
+    std::string got =
+        exchange(base.get(), fds.back(), "GET /nowhere HTTP/1.1\r\nHost: x\r\n\r\n", 2000);
+    EXPECT_EQ(got.substr(0, 12), "HTTP/1.1 404");
+    for (int fd : fds) close(fd);
+    for (int turn = 0; turn < 20; ++turn) event_base_loop(base.get(), EVLOOP_NONBLOCK);
+}
+
 TEST(CommandLine, SaysWhatIsWrongAndExitsWithTwo) {
     auto run = [](const std::string& args) {
         FILE* p = popen((std::string(WALKFORD_BINARY) + " " + args + " 2>&1").c_str(), "r");
