--- a/tests/loopback_test.cpp
+++ b/tests/loopback_test.cpp
@@ -400,6 +400,16 @@
               "done");
 }
 
+int connect_to(std::uint16_t port) {
+    int fd = socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in a{};
+    a.sin_family = AF_INET;
+    a.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    a.sin_port = htons(port);
+    EXPECT_EQ(connect(fd, reinterpret_cast<sockaddr*>(&a), sizeof a), 0);
+    return fd;
+}
+
 // One request over a socket that stays open; what came back.
 std::string exchange(event_base* base, int fd, const std::string& request, int turns) {
     EXPECT_EQ(write(fd, request.data(), request.size()), static_cast<ssize_t>(request.size()));
@@ -445,12 +455,7 @@
     std::vector<int> fds;
     int kept = 0, closed = 0;
     for (int i = 0; i < 40; ++i) {
-        int fd = socket(AF_INET, SOCK_STREAM, 0);
-        sockaddr_in a{};
-        a.sin_family = AF_INET;
-        a.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        a.sin_port = htons(server->port());
-        ASSERT_EQ(connect(fd, reinterpret_cast<sockaddr*>(&a), sizeof a), 0);
+        int fd = connect_to(server->port());
         fds.push_back(fd);
         std::string got = report_over(base.get(), fd);
         EXPECT_EQ(got.substr(0, 15), "HTTP/1.1 200 OK") << i;
@@ -469,21 +474,12 @@
 TEST(Sockets, WhoIsBeingServedKeepsHisConnection) {
     EventBase base(event_base_new());
     HttpServer server(base.get(), "127.0.0.1:0", 4, [](const Input&) {});
-    auto connected = [&server] {
-        int fd = socket(AF_INET, SOCK_STREAM, 0);
-        sockaddr_in a{};
-        a.sin_family = AF_INET;
-        a.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        a.sin_port = htons(server.port());
-        EXPECT_EQ(connect(fd, reinterpret_cast<sockaddr*>(&a), sizeof a), 0);
-        return fd;
-    };
     std::vector<int> fds;
     for (int i = 0; i < 4; ++i) {
-        fds.push_back(connected());
+        fds.push_back(connect_to(server.port()));
         EXPECT_EQ(report_over(base.get(), fds.back(), 40), "");
     }
-    fds.push_back(connected());
+    fds.push_back(connect_to(server.port()));
     std::string got =
         exchange(base.get(), fds.back(), "GET /nowhere HTTP/1.1\r\nHost: x\r\n\r\n", 2000);
     EXPECT_EQ(got.substr(0, 12), "HTTP/1.1 404");
