--- a/src/coordination/user_desk.cpp
+++ b/src/coordination/user_desk.cpp
@@ -134,15 +134,18 @@
             if (k != kNone) s.kinds.push_back(k);
         }
     }
-    bool fits = false;
+    std::set<Id> zones;  // where a task may be
     for (const Kind& k : core_.kinds) {
         if (!s.allows_kind(k.id) || !s.each.fits_in(k.size)) continue;
-        if (s.zone != kNone && std::find(k.zones.begin(), k.zones.end(), s.zone) == k.zones.end()) {
-            continue;
+        for (Id zone : k.zones) {
+            if (s.zone == kNone || s.zone == zone) zones.insert(zone);
         }
-        fits = true;
     }
-    if (!fits) return "a task fits no allowed machine type";
+    if (zones.empty()) return "a task fits no allowed machine type";
+    // (Of an array, half of the tasks may run after the other half.)
+    if (s.gang && s.spread && s.tasks > 1 && (s.one_zone || zones.size() < 2)) {
+        return "all tasks at once and spread over zones, with one zone to be in";
+    }
     const Team& team = core_.platform.teams[s.team];
     double n = s.gang ? s.tasks : 1.0;
     auto over = [&](double each, double limit) { return limit > 0 && each * n > limit + 1e-6; };
--- a/tests/standin/world.cpp
+++ b/tests/standin/world.cpp
@@ -11,6 +11,7 @@
 constexpr double kGangPeer = 3;
 constexpr double kCancel = 26;
 constexpr Ms kCallTimeout = 1500;
+constexpr int kTroubles = 28;
 }  // namespace
 
 struct World::StateService {
@@ -181,6 +182,7 @@
     Ms next_beat = 0;
     Ms last_sent = -10000;
     Ms notice_until = -1;
+    Ms mute_until = -1;  // its reports reach no controller; direct commands reach it
     std::map<std::tuple<std::string, std::uint32_t, std::uint32_t>, Running> tasks;
 };
 
@@ -389,6 +391,13 @@
             }
             respond(r);
         };
+        if (c.verb == StateVerb::txn && now_ < late_writes_until_ && chance(0.4)) {
+            // No answer; carried out after newer ones of the same controller.
+            at(now_ + pick(2000, 12000),
+               [this, me, c] { written_late += state_->execute(now_, me, c).status == 200; });
+            at(now_ + kCallTimeout, [back, none] { back(none); });
+            return;
+        }
         call<StateReply>(
             me, "state", watch ? c.wait_ms + 3000 : kCallTimeout, none,
             [this, wait, c](std::function<void(StateReply)> respond) {
@@ -609,7 +618,8 @@
         h.beats[id] = std::move(respond);
         feed(to, BeatRequest{id, r});
     };
-    if (o_.faults && now_ < o_.duration * 8 / 10 && chance(0.04)) {
+    if (o_.faults && now_ < o_.duration * 8 / 10 &&
+        chance(now_ < late_reports_until_ ? 0.4 : 0.04)) {
         // A late copy of the report.
         // (From seconds to well over a lease, to any controller: perhaps one that never saw it.)
         std::size_t copy_to =
@@ -621,8 +631,9 @@
     }
     call<BeatAnswer>(
         name, "n" + std::to_string(node), 4000, none,
-        [deliver, node](std::function<void(BeatAnswer)> respond) {
-            deliver(node, std::move(respond));
+        [this, deliver, node, mute = now_ < w.mute_until](std::function<void(BeatAnswer)> respond) {
+            muted += mute;
+            if (!mute) deliver(node, std::move(respond));
         },
         [this, name, sent, session = r.session, node](BeatAnswer a) {
             auto found = workers_.find(name);
@@ -772,6 +783,10 @@
     Ms left = std::max<Ms>(300, j.run_ms - (j.spec.gang ? 0 : j.progress[r.task]));
     changed(w);
     auto key = std::tuple{r.job, r.task, r.attempt};
+    if (now_ + left < cancel_at_end_until_ && chance(0.3)) {
+        ++called_off_at_end;
+        at(now_ + std::max<Ms>(0, left + pick(-300, 700)), [this, id = r.job] { cancel(id); });
+    }
     at(now_ + left, [this, name = w.name, key, version, session = w.session] {
         auto found = workers_.find(name);
         if (found == workers_.end() || found->second->session != session) return;
@@ -919,6 +934,17 @@
         std::move(done));
 }
 
+std::vector<std::string> World::on_machines(const std::string& job) const {
+    std::vector<std::string> names;
+    for (const auto& [name, w] : workers_) {
+        if (std::any_of(w->tasks.begin(), w->tasks.end(),
+                        [&](const auto& t) { return t.second.job == job && t.second.on; })) {
+            names.push_back(name);
+        }
+    }
+    return names;
+}
+
 void World::told(Job& j, const UserAnswer& a, bool cancelling, Ms asked) {
     auto before = [asked](Ms told) { return told >= 0 && told <= asked; };
     if (a.code == 404 && before(j.accepted_told)) broken("forgotten", j.spec.id + " answered 404");
@@ -940,15 +966,11 @@
         if (!j.cancel_asked) broken("went_back", j.spec.id + " cancelled by nobody");
         if (j.cancel_told < 0) {
             j.cancel_told = now_;
-            if (in_gap_) {
-                for (const auto& [name, w] : workers_) {
-                    if (std::any_of(w->tasks.begin(), w->tasks.end(), [&](const auto& t) {
-                            return t.second.job == j.spec.id && t.second.on;
-                        })) {
-                        ++gap_cancelled;
-                        at(now_ + pick(0, 600), [this] { gap_outage(); });
-                        break;
-                    }
+            if (!on_machines(j.spec.id).empty()) {
+                ++called_off_running;
+                if (in_gap_) {
+                    ++gap_cancelled;
+                    at(now_ + pick(0, 600), [this] { gap_outage(); });
                 }
             }
         }
@@ -1018,6 +1040,63 @@
     });
 }
 
+// Those that run, a few at a time, within so long.
+void World::cancel_running(std::size_t most, Ms span) {
+    for (const auto& [id, j] : jobs_) {
+        if (most == 0) return;
+        if (j->accepted_told < 0 || j->cancel_asked || on_machines(id).empty()) continue;
+        --most;
+        at(now_ + pick(0, span), [this, id = id] { cancel(id); });
+    }
+}
+
+// Jobs that never can run: each in one of the ways there are.
+void World::submit_impossible() {
+    SubmitRequest q;
+    JobSpec& s = q.spec;
+    s.id = "j-9" + std::to_string(1000000 + impossible_);
+    s.tasks = 2;
+    s.each = {1, 0, 1};
+    q.team_name = "blue";
+    q.lane_name = "l0";
+    switch (impossible_++ % 7) {
+        case 0:
+            q.team_name = "green";
+            break;
+        case 1:
+            s.each.cpus = 33;
+            break;
+        case 2:
+            q.kinds_named = true;
+            q.kind_names = {"small"};
+            s.each.gpus = 1;
+            break;
+        case 3:
+            q.zone_named = true;
+            q.zone_name = "c";
+            break;
+        case 4:
+            s.gang = true;
+            s.each.cpus = 21;
+            q.team_name = "red";
+            break;
+        case 5:
+            s.gang = s.spread = s.one_zone = true;
+            break;
+        default:
+            s.gang = s.spread = true;
+            q.zone_named = true;
+            q.zone_name = "a";
+            break;
+    }
+    ask(q, 5000, [this, id = s.id](UserAnswer a) {
+        refused_jobs += a.code == 422;
+        if (a.code == 200 || a.code == 201 || a.code == 404) {
+            broken("accepted", id + " that never can run: " + std::to_string(a.code));
+        }
+    });
+}
+
 void World::plan_users() {
     for (int n = 0; n < o_.jobs; ++n) {
         auto j = std::make_unique<Job>();
@@ -1088,14 +1167,17 @@
     }
 }
 
+std::size_t World::leader_or(std::size_t otherwise) const {
+    for (std::size_t k = 0; k < o_.nodes; ++k) {
+        if (hosts_[k]->node && hosts_[k]->node->leading()) return k;
+    }
+    return otherwise;
+}
+
 void World::one_fault() {
     std::size_t i = static_cast<std::size_t>(pick(0, static_cast<int>(o_.nodes) - 1));
     // The leader is hit more often: that is where it hurts.
-    if (chance(0.5)) {
-        for (std::size_t k = 0; k < o_.nodes; ++k) {
-            if (hosts_[k]->node && hosts_[k]->node->leading()) i = k;
-        }
-    }
+    if (chance(0.5)) i = leader_or(i);
     std::string node = "n" + std::to_string(i);
     auto again = [this](std::size_t k) {
         if (chance(0.3)) {
@@ -1112,7 +1194,7 @@
     };
     int kind =
         o_.only.empty()
-            ? static_cast<int>(pick(0, 18))
+            ? static_cast<int>(pick(0, kTroubles - 1))
             : o_.only[static_cast<std::size_t>(pick(0, static_cast<int>(o_.only.size()) - 1))];
     well_since_ = std::max(well_since_, now_);
     switch (kind) {
@@ -1225,6 +1307,82 @@
             hosts_[i]->frozen_until = now_ + pick(500, 35000);
             well_since_ = std::max(well_since_, hosts_[i]->frozen_until);
             break;
+        case 19:
+            late_writes_until_ = now_ + pick(5000, 30000);
+            well_since_ = std::max(well_since_, late_writes_until_ + 12000);
+            break;
+        case 20:
+            late_reports_until_ = now_ + pick(5000, 30000);
+            break;
+        case 21: {
+            Ms until = now_ + pick(3000, 30000);
+            for (auto& [name, w] : workers_) {
+                if (chance(0.5)) w->mute_until = until;
+            }
+            well_since_ = std::max(well_since_, until);
+            break;
+        }
+        case 22:
+            // Many are called off at once, and some of their machines hang.
+            if (chance(0.6)) {
+                Ms span = pick(1000, 14000);
+                for (auto& [name, w] : workers_) {
+                    if (chance(0.4)) cut(name, "*", span, true);
+                }
+            }
+            cancel_running(static_cast<std::size_t>(pick(1, 8)), 200);
+            break;
+        case 23:
+            cancel_at_end_until_ = now_ + pick(10000, 30000);
+            break;
+        case 24:
+            // One leader after the other ends, at times in an outage.
+            if (chance(0.4)) {
+                Ms span = pick(5000, 40000);
+                state_->outage(now_, span);
+                well_since_ = std::max(well_since_, now_ + span);
+            }
+            for (Ms when = 0; when < 60000; when += pick(5000, 9000)) {
+                well_since_ = std::max(well_since_, now_ + when);
+                at(now_ + when, [this] {
+                    restart(leader_or(static_cast<std::size_t>(pick(0, 2)) % o_.nodes), 50, 5000);
+                });
+            }
+            break;
+        case 25: {
+            // All are away for longer than a lease; one is back first.
+            Ms span = pick(8000, 16000);
+            for (std::size_t k = 0; k < o_.nodes; ++k) {
+                restart(k, span + (k == i ? 0 : 50), span + (k == i ? 50 : 6000));
+            }
+            well_since_ = std::max(well_since_, now_ + span + 6000);
+            break;
+        }
+        case 26: {
+            // The leader loses state service and peers, not workers and users, and what runs is
+            // called off through the next one.
+            i = leader_or(i);
+            Ms span = pick(5000, 40000);
+            cut("n" + std::to_string(i), "state", span, chance(0.3));
+            cut("n" + std::to_string(i), "n*", span, chance(0.3));
+            for (Ms when : {pick(0, 2000), pick(4000, 12000), pick(12000, 25000)}) {
+                at(now_ + when, [this] { cancel_running(3, 500); });
+            }
+            break;
+        }
+        case 27:
+            // Odd requests: repeated submissions of whatever there is, cancellations of what is
+            // done, jobs that fit nowhere.
+            for (int n = 0; n < 7; ++n) {
+                at(now_ + pick(0, 10000), [this] { submit_impossible(); });
+            }
+            for (const auto& [id, j] : jobs_) {
+                if (j->accepted_told < 0) continue;
+                at(now_ + pick(0, 10000), [this, id = id] { submit(id); });
+                if (j->done_told >= 0) at(now_ + pick(0, 10000), [this, id = id] { cancel(id); });
+            }
+            well_since_ = std::max(well_since_, now_ + 10000);
+            break;
         case 15:
             // Several controllers at once, back within a fraction of a second, and again while they
             // elect a leader.
--- a/tests/standin/world.hpp
+++ b/tests/standin/world.hpp
@@ -62,6 +62,12 @@
     int copies = 0;
     int gap_cancelled = 0;  // jobs with a task on a machine, called off within the gap
     int gap_restarted = 0;  // controllers that came back in the outage behind it
+    // How often the meetings of troubles came about.
+    int written_late = 0;        // transactions without an answer that changed something later
+    int called_off_running = 0;  // jobs told to be cancelled while a task was on a machine
+    int called_off_at_end = 0;   // jobs called off at the end of a task of theirs
+    int muted = 0;               // reports that reached nobody
+    int refused_jobs = 0;        // jobs that can't run, and are told so
 
   private:
     struct StateService;
@@ -91,6 +97,10 @@
     void gap();
     void gap_outage();
     void restart(std::size_t i, Ms least, Ms most);
+    std::size_t leader_or(std::size_t otherwise) const;
+    void cancel_running(std::size_t most, Ms span);
+    std::vector<std::string> on_machines(const std::string& job) const;
+    void submit_impossible();
     void cut(const std::string& a, const std::string& b, Ms span, bool hold, bool one_way = false);
     void reboot(const std::string& machine);
     void last_look();
@@ -124,6 +134,10 @@
     Ms now_ = 0;
     Ms well_since_ = 0;  // the last trouble is over
     bool in_gap_ = false;
+    Ms late_writes_until_ = -1;
+    Ms late_reports_until_ = -1;
+    Ms cancel_at_end_until_ = -1;
+    int impossible_ = 0;
     std::uint64_t order_ = 0;
     std::map<std::pair<Ms, std::uint64_t>, std::function<void()>> queue_;
     struct Cut {
--- a/tests/world_test.cpp
+++ b/tests/world_test.cpp
@@ -93,20 +93,33 @@
 }
 
 TEST_P(Troubles, KeepTheRulesAndEveryJobIsServed) {
-    int deaf = 0, copies = 0;
+    int deaf = 0, copies = 0, late = 0, off_running = 0, off_at_end = 0, muted = 0, refused = 0;
+    int elections = 0;
     for (int k = 0; k < 6; ++k) {
         World w(troubled({GetParam()}, 7000 + static_cast<std::uint64_t>(k)));
         w.run();
         EXPECT_TRUE(w.violations.empty()) << "trouble " << GetParam() << " seed " << k << all(w);
         deaf += w.machines_deaf;
         copies += w.copies;
+        late += w.written_late;
+        off_running += w.called_off_running;
+        off_at_end += w.called_off_at_end;
+        muted += w.muted;
+        refused += w.refused_jobs;
+        elections += w.elections;
     }
+    // Each trouble came about, or the days above have shown nothing.
     EXPECT_GT(copies, 15);  // late copies come on every day with troubles
-    if (GetParam() == 12) {
-        EXPECT_GT(deaf, 10);
+    std::map<int, std::pair<int, int>> came{{12, {deaf, 10}},        {19, {late, 10}},
+                                            {20, {copies, 150}},     {21, {muted, 100}},
+                                            {22, {off_running, 30}}, {23, {off_at_end, 30}},
+                                            {24, {elections, 60}},   {25, {elections, 20}},
+                                            {26, {off_running, 30}}, {27, {refused, 100}}};
+    if (auto it = came.find(GetParam()); it != came.end()) {
+        EXPECT_GT(it->second.first, it->second.second);
     }
 }
-INSTANTIATE_TEST_SUITE_P(Alone, Troubles, testing::Range(0, 19));
+INSTANTIATE_TEST_SUITE_P(Alone, Troubles, testing::Range(0, 28));
 
 TEST(TroublesTogether, KeepTheRulesAndEveryJobIsServed) {
     for (std::uint64_t seed = 1; seed <= 24; ++seed) {
