A gang with a lost member is not kept back by who waits for its limit; old reports prove less

Now a gang that holds places is completed, or stopped when it can't be, before the limit is asked about. Found by reading: a member that gave up waiting is run again under its attempt; a report from before that, first heard by a later leader once the gang runs, counted it as gone. Such an end counts only from a report made under our token.

--- a/src/coordination/placer.cpp
+++ b/src/coordination/placer.cpp
@@ -464,7 +464,13 @@
     const JobSpec& s = j.spec;
     // What it has risen to it keeps, or it would be stopped again as soon as it began.
     j.rank = std::max(j.rank, risen(j, now, policy.rise_s));
-    std::uint32_t least = s.gang && j.placed == 0 ? s.tasks : 1;
+    if (s.gang && j.placed > 0) {
+        // Not kept back by who waits for the limit: that one may be waiting for what this gang
+        // holds, and the two would wait for each other for ever.
+        replace_members(now, id);
+        return;
+    }
+    std::uint32_t least = s.gang ? s.tasks : 1;
     Blocked& blocked = blocked_[s.team];
     auto rank = static_cast<int>(s.priority);
     if ((s.each.cpus > 0 && rank <= blocked.cpus) || (s.each.gpus > 0 && rank <= blocked.gpus)) {
@@ -479,8 +485,6 @@
     }
     if (!s.gang) {
         place_batch(now, id);
-    } else if (j.placed > 0) {
-        replace_members(now, id);
     } else if (!place_gang(now, id) && s.tasks > 1 && gathering_ < policy.gather &&
                now >= j.waiting_since + to_ms(policy.gather_after_s)) {
         auto stop = [this](const Job& v, const Job& job) { return may_stop(v, job); };
--- a/src/coordination/worker_dialogue.cpp
+++ b/src/coordination/worker_dialogue.cpp
@@ -234,6 +234,9 @@
         task.inherited = false;
         if (t.state == TaskState::exited) {
             if (task.rerun && t.cause == "alone") continue;  // not cleared yet
+            // An earlier leader may have run this attempt again since: only a report made under our
+            // token shows that it has not.
+            if (t.cause == "alone" && !under_us) continue;
             task_exited(now, ref, t);
             continue;
         }
--- a/tests/leader_test.cpp
+++ b/tests/leader_test.cpp
@@ -190,6 +190,34 @@
     EXPECT_EQ(w.where("j-1"), "host-1");
 }
 
+// A member that gave up waiting is run again under the same attempt: a report from before that,
+// heard by a later leader, once made it count as gone while it ran with the others.
+TEST(Fencing, AnOldReportOfAMemberThatGaveUpWaitingProvesNothing) {
+    Bench w;
+    JobSpec s = w.spec("j-1", 2, 2, true);
+    w.core->view.apply({keys::job("j-1"), encode_job({s, false}, w.core->names), 20});
+    std::vector<TaskRecord> stored(2);
+    stored[0] = {1, false, "host-1"};
+    stored[1] = {1, false, "host-2"};
+    w.core->view.apply({keys::chunk("j-1", 0), encode_chunk(stored), 21});
+    Registry r;
+    r.first_rented = true;
+    r.machines = {{"host-1", 0, 0, false, false, false}, {"host-2", 0, 0, false, false, false}};
+    w.core->view.apply({keys::kRegistry, encode_registry(r, w.core->names), 5});
+    w.leader = std::make_unique<Leader>(*w.core, 50, w.now);
+    w.leader->term().depose = [](Ms, const char*) {};
+    w.leader->term().refresh = [](Ms) {};
+    w.leader->set_rights(true, w.now + 1000000);
+    w.beat("host-2", {{"j-1", 1, 1, TaskState::running, "", false}}, 40);
+    w.beat("host-1", {{"j-1", 0, 1, TaskState::exited, "alone", false}}, 40);
+    w.pass(500);
+    EXPECT_EQ(w.where("j-1", 0), "host-1");
+    EXPECT_EQ(w.where("j-1", 1), "host-2");
+    // Under our token it is a proof: the gang had begun, and goes nowhere without it.
+    w.beat("host-1", {{"j-1", 0, 1, TaskState::exited, "alone", false}}, 50);
+    EXPECT_EQ(w.where("j-1", 0), "");
+}
+
 TEST(Fencing, DoneIsDurableBeforeTheWorkerForgetsIt) {
     Bench w;
     w.lead({{"host-1", 0}});
@@ -337,6 +365,33 @@
     EXPECT_LE(w.now - began, 130000);
 }
 
+// A gang that lost a member holds a part of its team's limit, and one that waits for the whole
+// limit comes first: kept back by it, the lost member was never replaced, and both waited for ever.
+TEST(Placing, AGangThatLostAMemberIsCompletedBeforeWhoWaitsForTheLimit) {
+    Bench w([](Bench& b) { b.platform.teams[0].limit.cpus = 16; });
+    w.lead({{"host-1", 0}, {"host-2", 0}, {"host-3", 0}});
+    JobSpec first = w.spec("j-1", 8, 2, true);
+    first.any_kind = false;
+    first.kinds = {1};
+    w.job(first);
+    w.job(w.spec("j-2", 6, 2, true));
+    w.pass(300);
+    std::string lost = w.where("j-2", 1);
+    ASSERT_FALSE(lost.empty());
+    for (int round = 0; round < 2; ++round) {
+        for (const char* host : {"host-1", "host-2", "host-3"}) w.beat(host);
+        w.pass(300);
+    }
+    w.beat(lost, {{"j-2", 1, 1, TaskState::waiting, "", false}});
+    w.beat(lost, {}, 50, 2);  // a new session: all that was there is gone
+    EXPECT_EQ(w.where("j-2", 1), "");
+    w.pass(1000);
+    EXPECT_FALSE(w.where("j-2", 0).empty());
+    EXPECT_FALSE(w.where("j-2", 1).empty());
+    Books& b = w.leader->term().books;
+    EXPECT_EQ(b.task({b.find_job("j-2"), 1}).attempt, 1U);
+}
+
 TEST(Placing, RoomIsGatheredForALargeGangWithinABound) {
     Ms after = gang_begins_after(Policy{}.gather);
     EXPECT_GE(after, 0);
