News asked for before a reading of the whole state is not taken in after it

Found by reading: an answer to a proving read, held up past a 410 and a new reading, could bring an ended job back into the view (told as pending after done, its tasks placed again, every write refused). Test on the core fails without it. An old watch left open beside a new one is ignored too.

--- a/src/coordination/view_keeper.cpp
+++ b/src/coordination/view_keeper.cpp
@@ -28,6 +28,8 @@
 void ViewKeeper::start_reading(Ms now) {
     reading_ = true;
     ready_ = false;
+    watching_ = false;
+    ++readings_;
     read_prefix_ = 0;
     read_after_.clear();
     read_revision_.reset();
@@ -84,7 +86,8 @@
     watching_ = true;
     core_.state.changes(
         core_.view.revision(), kWatchFor,
-        [this](Ms now, const StateReply& r) {
+        [this, reading = readings_](Ms now, const StateReply& r) {
+            if (reading != readings_) return;
             watching_ = false;
             watch_at_ = now + kWatchSpacing;
             if (r.status == 200) {
@@ -117,13 +120,13 @@
     waiting_.clear();
     core_.state.changes(
         core_.view.revision(), 0,
-        [this, served, sent = now](Ms at, const StateReply& r) {
+        [this, served, sent = now, reading = readings_](Ms at, const StateReply& r) {
             barrier_open_ = false;
-            bool ok = r.status == 200 && ready_;
+            bool ok = r.status == 200 && ready_ && reading == readings_;
             if (ok) {
                 apply(at, r);
                 proven_at_ = std::max(proven_at_, sent);
-            } else if (r.status == 410 && ready_) {
+            } else if (r.status == 410 && ready_ && reading == readings_) {
                 ready_ = false;
                 read_at_ = at;
             }
--- a/src/coordination/view_keeper.hpp
+++ b/src/coordination/view_keeper.hpp
@@ -34,6 +34,9 @@
     std::size_t read_prefix_ = 0;
     std::string read_after_;
     std::optional<std::uint64_t> read_revision_;
+    // Readings begun. What was asked for before the latest is not taken in after it: a reading
+    // leaves no trace of what has gone, and old news would bring it back.
+    std::uint64_t readings_ = 0;
     Ms read_at_ = 0;
     bool watching_ = false;
     Ms watch_at_ = 0;
--- a/tests/leader_test.cpp
+++ b/tests/leader_test.cpp
@@ -6,6 +6,7 @@
 #include <spdlog/spdlog.h>
 
 #include "coordination/node.hpp"
+#include "coordination/view_keeper.hpp"
 
 namespace walkford {
 namespace {
@@ -837,6 +838,62 @@
     EXPECT_EQ(v.job("j-1"), nullptr);
 }
 
+// Changes asked for before a reading of the whole state, answered after it: a job that the reading
+// no longer found (it had ended) was known as live again, for ever, and its end was taken back.
+TEST(ViewTest, NewsFromBeforeAReadingDoesNotBringAnEndedJobBack) {
+    spdlog::set_level(spdlog::level::off);
+    Platform p;
+    p.node_name = "n0";
+    p.zones = {"a"};
+    Core core(p, {}, 1);
+    ViewKeeper keeper(core);
+    std::vector<StateCall> asked;
+    auto collect = [&] {
+        for (Output& o : core.out) {
+            if (auto* c = std::get_if<StateCall>(&o)) asked.push_back(*c);
+        }
+        core.out.clear();
+    };
+    auto reply = [&](Ms now, const StateCall& c, int status, std::uint64_t revision,
+                     std::vector<StateRow> rows = {}) {
+        StateReply r;
+        r.call = c.call;
+        r.status = status;
+        r.revision = revision;
+        r.rows = std::move(rows);
+        core.state.reply(now, r);
+        collect();
+    };
+    auto read_all = [&](Ms now, std::uint64_t revision) {
+        keeper.tick(now);
+        collect();
+        for (int i = 0; i < 5; ++i) {
+            StateCall c = asked.back();
+            ASSERT_EQ(c.verb, StateVerb::list);
+            reply(now, c, 200, revision);
+        }
+        ASSERT_TRUE(keeper.ready());
+    };
+    read_all(1000, 10);
+    StateCall watch = asked.back();
+    ASSERT_EQ(watch.verb, StateVerb::changes);
+    int proven = 0, failed = 0;
+    keeper.barrier(2000, [&](Ms, bool ok) { (ok ? proven : failed) += 1; });
+    collect();
+    StateCall barrier = asked.back();
+    reply(2100, watch, 410, 10);
+    read_all(2200, 12000);
+    JobSpec s;
+    s.id = "j-1";
+    s.team = 0;
+    core.names.teams.intern("red");
+    StateRow old{keys::job("j-1"), encode_job({s, false}, core.names), 11};
+    reply(2300, barrier, 200, 11, {old});
+    EXPECT_EQ(core.view.job("j-1"), nullptr);
+    EXPECT_EQ(proven, 0);
+    EXPECT_EQ(failed, 1);
+}
+
 TEST(NodeTest, TheVeryFirstChangeOfAnEmptyStoreIsSeen) {
     // A reading at revision 0 once made the node follow changes from 1 on: it never saw the
     // leader's key, the store's first change, and campaigned for ever.
