--- a/tests/leader_test.cpp
+++ b/tests/leader_test.cpp
@@ -894,6 +894,62 @@
     EXPECT_EQ(failed, 1);
 }
 
+// Up to when all that a peer told is in our view (design.md, "Until when a leader may answer"); our
+// own incarnation is "me", and message number n to it goes out at 1000 n.
+struct Vouching : testing::Test {
+    PeerWatch peer;
+    std::uint64_t number = 0;
+    void SetUp() override {
+        for (std::uint64_t n = 1; n <= 20; ++n) peer.sent(static_cast<Ms>(1000 * n), n);
+    }
+    bool tells(Ms now, const std::string& incarnation, Ms up, std::uint64_t echo,
+               std::uint64_t revision, const std::string& to = "me") {
+        PeerFact f;
+        f.incarnation = incarnation;
+        f.sequence = ++number;
+        f.echo = echo;
+        f.echo_incarnation = to;
+        f.up_ms = up;
+        f.revision = revision;
+        return peer.hear(now, f, "me");
+    }
+};
+
+TEST_F(Vouching, OnlyWhatIsInOurViewIsVouchedForAndItStaysSo) {
+    EXPECT_EQ(peer.told_until(500, 100), 500);  // never heard: our own reading alone
+    tells(5200, "a", 5000, 5, 101);
+    EXPECT_EQ(peer.told_until(500, 100), 500);  // it may have told of change 101
+    EXPECT_EQ(peer.told_until(500, 101), 5000);
+    tells(6200, "a", 6000, 6, 102);
+    EXPECT_EQ(peer.told_until(500, 101), 5000);
+    EXPECT_EQ(peer.told_until(9000, 103), 9000);
+}
+
+TEST_F(Vouching, AnAnswerToAnotherProcessOfOursSaysNothing) {
+    tells(5200, "a", 5000, 5, 0, "me before");
+    EXPECT_EQ(peer.told_until(500, 100), 500);
+}
+
+TEST_F(Vouching, AProcessKnowsNothingOfWhatAnEarlierOneTold) {
+    tells(5200, "a", 5000, 5, 101);
+    tells(7000, "b", 500, 6, 0);  // it began between 6500 and 7000
+    EXPECT_EQ(peer.told_until(5900, 100), 5900);
+    tells(8000, "b", 1500, 7, 0);
+    EXPECT_EQ(peer.told_until(6400, 100), 6400);
+    EXPECT_EQ(peer.told_until(6600, 100), 7000);  // read up to its start: now it counts
+    // ... and what an earlier one had vouched for is not taken back by its end.
+    tells(9000, "c", 100, 8, 0);
+    EXPECT_EQ(peer.told_until(6600, 100), 7000);
+}
+
+TEST_F(Vouching, ALateMessageOfAnEarlierProcessIsDropped) {
+    tells(5200, "a", 5000, 3, 100);
+    tells(7000, "b", 500, 6, 0);
+    EXPECT_FALSE(tells(7100, "a", 5500, 5, 100));  // written at 5.6 s, held up
+    EXPECT_TRUE(tells(8000, "b", 1500, 7, 0));
+    EXPECT_EQ(peer.told_until(500, 100), 500);
+}
+
 TEST(NodeTest, TheVeryFirstChangeOfAnEmptyStoreIsSeen) {
     // A reading at revision 0 once made the node follow changes from 1 on: it never saw the
     // leader's key, the store's first change, and campaigned for ever.
