A placement is not durable while an unanswered write says otherwise

Now what a sent write changes is in doubt until a later one is confirmed. Test fails without it. An alone exit under an older token also no longer counts the member as never started.

--- a/src/bookkeeping/books.cpp
+++ b/src/bookkeeping/books.cpp
@@ -239,11 +239,23 @@
     if (!slot) return true;
     return std::all_of(slot->tasks.begin(), slot->tasks.end(), [](const Task& t) {
         bool done = t.phase == Phase::done;
-        if (done != t.c_done) return false;
+        if (t.c_doubt || done != t.c_done) return false;
         return done || (t.machine == t.c_machine && t.attempt == t.c_attempt);
     });
 }
 
+void Books::doubt(Id job, std::uint32_t index, const std::vector<TaskRecord>& written) {
+    Chunk& c = chunk(job, index);
+    for (std::size_t i = 0; i < c.tasks.size(); ++i) {
+        Task& t = c.tasks[i];
+        Id machine = written[i].machine.empty() ? kNone : find_machine(written[i].machine);
+        if (t.c_attempt != written[i].attempt || t.c_done != written[i].done ||
+            t.c_machine != machine) {
+            t.c_doubt = true;
+        }
+    }
+}
+
 void Books::commit(Id job, std::uint32_t index, const std::vector<TaskRecord>& stored,
                    std::uint64_t stamp) {
     Chunk& c = chunk(job, index);
@@ -252,6 +264,7 @@
         Task& t = c.tasks[i];
         t.c_attempt = stored[i].attempt;
         t.c_done = stored[i].done;
+        t.c_doubt = false;
         t.c_machine = stored[i].machine.empty() ? kNone : find_machine(stored[i].machine);
     }
 }
--- a/src/bookkeeping/books.hpp
+++ b/src/bookkeeping/books.hpp
@@ -32,6 +32,9 @@
     Phase phase = Phase::idle;
     TaskState state = TaskState::unknown;
     bool c_done = false;
+    // A write that says something else of it was sent and is not known to have failed: what stands
+    // in the record is not known until a later one is answered.
+    bool c_doubt = false;
     bool inherited = false;  // placed by an earlier leader, not yet reported to this one
     bool halting = false;
     bool rerun = false;    // ended for want of its mates: cleared and run again where it is
@@ -44,7 +47,8 @@
     Ms halt_told = -1;
 
     bool durable_here() const {
-        return machine != kNone && c_machine == machine && c_attempt == attempt && !c_done;
+        return machine != kNone && c_machine == machine && c_attempt == attempt && !c_done &&
+               !c_doubt;
     }
 };
 
@@ -214,6 +218,8 @@
     std::vector<TaskRecord> snapshot(Id job, std::uint32_t chunk) const;
     // Does the durable record say what the books say?
     bool durable(Id job, std::uint32_t chunk) const;
+    // The record is about to be written: what it changes is in doubt until a commit.
+    void doubt(Id job, std::uint32_t index, const std::vector<TaskRecord>& written);
     void commit(Id job, std::uint32_t chunk, const std::vector<TaskRecord>& stored,
                 std::uint64_t stamp);
 
--- a/src/coordination/leader.cpp
+++ b/src/coordination/leader.cpp
@@ -221,6 +221,7 @@
         {keys::kLeader, term_.token}, {keys::job(j.spec.id), j.stamp}, {key, c.stamp}};
     txn.writes = {{key, encode_chunk(records), 0}};
     c.in_flight = true;
+    books.doubt(job, index, records);
     ++writes_open_;
     books.dirty.erase({job, index});
     term_.core.state.txn(
--- a/src/coordination/worker_dialogue.cpp
+++ b/src/coordination/worker_dialogue.cpp
@@ -231,12 +231,12 @@
         if (task.machine != id || task.attempt != t.attempt) continue;
         mentioned.insert(ref);
         if (task.phase == Phase::sent && under_us && !task.rerun) heard(m);
+        // An earlier leader may have run this attempt again since: only a report made under our
+        // token shows that it has not, and until then it is where that leader put it.
+        if (t.state == TaskState::exited && t.cause == "alone" && !under_us) continue;
         task.inherited = false;
         if (t.state == TaskState::exited) {
             if (task.rerun && t.cause == "alone") continue;  // not cleared yet
-            // An earlier leader may have run this attempt again since: only a report made under our
-            // token shows that it has not.
-            if (t.cause == "alone" && !under_us) continue;
             task_exited(now, ref, t);
             continue;
         }
--- a/tests/leader_test.cpp
+++ b/tests/leader_test.cpp
@@ -214,6 +214,10 @@
     w.pass(500);
     EXPECT_EQ(w.where("j-1", 0), "host-1");
     EXPECT_EQ(w.where("j-1", 1), "host-2");
+    // Nor is it one that was never started: stopped with the others, it stays counted.
+    w.core->view.apply({keys::job("j-1"), encode_job({s, true}, w.core->names), 30});
+    w.leader->job_changed(w.now, "j-1");
+    EXPECT_EQ(w.where("j-1", 0), "host-1");
     // Under our token it is a proof: the gang had begun, and goes nowhere without it.
     w.beat("host-1", {{"j-1", 0, 1, TaskState::exited, "alone", false}}, 50);
     EXPECT_EQ(w.where("j-1", 0), "");
@@ -393,6 +397,53 @@
     EXPECT_EQ(b.task({b.find_job("j-2"), 1}).attempt, 1U);
 }
 
+// A member is lost, a write that says so gets no answer, and it is replaced on the same machine
+// under the same attempt. The record as last confirmed says just that, so it was run at once; then
+// the write was carried out late, and the next leader ran it a second time, elsewhere.
+TEST(Placing, AReplacementOnTheSameMachineIsNotDurableWhileAWriteSaysOtherwise) {
+    Bench w;
+    w.lead({{"host-1", 0}, {"host-2", 0}});
+    w.job(w.spec("j-1", 5, 2, true));
+    w.pass(300);
+    for (int round = 0; round < 2; ++round) {
+        for (const char* host : {"host-1", "host-2"}) w.beat(host);
+        w.pass(300);
+    }
+    std::string lost = w.where("j-1", 1);
+    ASSERT_FALSE(lost.empty());
+    w.beat(lost, {{"j-1", 1, 1, TaskState::waiting, "", false}});
+    w.answer_writes = false;
+    // Nothing else fits it for the moment, so its loss is written down.
+    w.leader->term().books.machines[w.leader->term().books.find_machine("host-1")].avoid_until =
+        w.now + 400;
+    w.leader->term().books.machines[w.leader->term().books.find_machine("host-2")].avoid_until =
+        w.now + 400;
+    std::size_t before = w.written.size();
+    w.beat(lost, {}, 50, 2);
+    w.pass(300);
+    ASSERT_GT(w.written.size(), before);
+    w.pass(300);
+    ASSERT_EQ(w.where("j-1", 1), lost);
+    auto runs = [&] {
+        int n = 0;
+        w.beat(lost, {}, 50, 2);
+        w.pass(600);  // an answer may be held for what it should carry
+        for (auto& [request, answer] : w.answers) {
+            for (const Order& o : answer.orders) {
+                n += request == w.tick && o.verb == OrderVerb::run && o.task == 1;
+            }
+        }
+        return n;
+    };
+    EXPECT_EQ(runs(), 0);
+    w.answer_writes = true;
+    // The write that got no answer is given up, and what holds now is written and confirmed.
+    StateReply none;
+    for (none.call = 1; none.call < 40; ++none.call) w.core->state.reply(w.now, none);
+    w.pass(600);
+    EXPECT_EQ(runs(), 1);
+}
+
 TEST(Placing, RoomIsGatheredForALargeGangWithinABound) {
     Ms after = gang_begins_after(Policy{}.gather);
     EXPECT_GE(after, 0);
