--- a/tests/leader_test.cpp
+++ b/tests/leader_test.cpp
@@ -38,6 +38,13 @@
         core->kinds = {{small, {8, 0, 32}, 50, 1, 1, 0.2, 10, {0, 1}},
                        {gpu, {32, 4, 128}, 50, 1, 9, 2, 10, {0, 1}}};
     }
+    // A leader of what the view holds; no machine has reported to it.
+    void elect(std::uint64_t token) {
+        leader = std::make_unique<Leader>(*core, token, now);
+        leader->term().depose = [](Ms, const char*) {};
+        leader->term().refresh = [](Ms) {};
+        leader->set_rights(true, now + 1000000);
+    }
     // A registry with these machines, all up.
     void lead(const std::vector<std::pair<std::string, int>>& machines) {
         Registry r;
@@ -46,10 +53,7 @@
             r.machines.push_back({name, static_cast<Id>(kind), 0, false, false, false});
         }
         core->view.apply({keys::kRegistry, encode_registry(r, core->names), 5});
-        leader = std::make_unique<Leader>(*core, 50, now);
-        leader->term().depose = [](Ms, const char*) {};
-        leader->term().refresh = [](Ms) {};
-        leader->set_rights(true, now + 1000000);
+        elect(50);
         for (const auto& [name, kind] : machines) beat(name);
     }
     std::vector<Order> beat(const std::string& name, std::vector<ReportedTask> tasks = {},
@@ -180,10 +184,7 @@
     Registry r;
     r.machines.push_back({"host-1", 0, 0, false, false, false});
     w.core->view.apply({keys::kRegistry, encode_registry(r, w.core->names), 20});
-    w.leader = std::make_unique<Leader>(*w.core, 60, w.now);
-    w.leader->term().depose = [](Ms, const char*) {};
-    w.leader->term().refresh = [](Ms) {};
-    w.leader->set_rights(true, w.now + 1000000);
+    w.elect(60);
     EXPECT_EQ(w.where("j-1"), "host-1");
     w.beat("host-1", {}, 50);  // it has seen the older token only: absence proves nothing
     EXPECT_EQ(w.where("j-1"), "host-1");
@@ -205,10 +206,7 @@
     r.first_rented = true;
     r.machines = {{"host-1", 0, 0, false, false, false}, {"host-2", 0, 0, false, false, false}};
     w.core->view.apply({keys::kRegistry, encode_registry(r, w.core->names), 5});
-    w.leader = std::make_unique<Leader>(*w.core, 50, w.now);
-    w.leader->term().depose = [](Ms, const char*) {};
-    w.leader->term().refresh = [](Ms) {};
-    w.leader->set_rights(true, w.now + 1000000);
+    w.elect(50);
     w.beat("host-2", {{"j-1", 1, 1, TaskState::running, "", false}}, 40);
     w.beat("host-1", {{"j-1", 0, 1, TaskState::exited, "alone", false}}, 40);
     w.pass(500);
