--- a/src/bookkeeping/cluster_state.hpp
+++ b/src/bookkeeping/cluster_state.hpp
@@ -80,6 +80,7 @@
     std::set<Id> failed_on;
     std::set<Id> refuted;  // machines it failed on that completed work of other jobs since
     std::uint32_t failures = 0;
+    Ms ran_well_until = -1000000000;  // service: a replica that had run for a while was last seen
     Ms not_before = 0;
     int rank = 0;  // the priority it has risen to by waiting
     Ms waiting_since = 0;
--- a/src/bookkeeping/records.hpp
+++ b/src/bookkeeping/records.hpp
@@ -19,6 +19,12 @@
 inline const std::string kJobs = "w/j/";
 inline const std::string kEnded = "w/d/";
 inline const std::string kTasks = "w/t/";
+inline const std::string kRegistryParts = "w/m/";
+inline const std::string kAnnouncements = "w/v/";
+inline std::string announcement(const std::string& node) { return kAnnouncements + node; }
+// Part 0 is the registry's first value, which is all there is while that one holds it.
+std::string registry_part(std::uint32_t index);
+std::optional<std::uint32_t> parse_registry_part(const std::string& key);
 inline std::string job(const std::string& id) { return kJobs + id; }
 inline std::string ended(const std::string& id) { return kEnded + id; }
 std::string chunk(const std::string& job, std::uint32_t index);
@@ -34,6 +40,9 @@
     bool cancelled = false;
 };
 Json encode_job(const JobRecord& job, const Names& names);
+// A cancelled job without what only a start would need: for a record that has grown too large to be
+// written again under lower limits of the state service.
+Json encode_cancelled_job(const JobSpec& spec, const Names& names);
 std::optional<JobRecord> decode_job(const std::string& id, const Json& value, Names& names);
 
 struct EndedRecord {
@@ -54,36 +63,13 @@
 Json encode_chunk(const std::vector<TaskRecord>& tasks);
 bool decode_chunk(const Json& value, std::vector<TaskRecord>& tasks);
 
-struct Hire {
-    std::string name;
-    Id kind = kNone;
-    Id zone = kNone;
-    bool spot = false;
-    std::uint32_t count = 0;
-    bool permanent = false;
-};
-struct Held {
-    std::string name;
-    Id kind = kNone;
-    Id zone = kNone;
-    bool spot = false;
-    bool permanent = false;
-    bool returning = false;
-};
-// The design's one small value: every machine held, each permanent or temporary, and the hires
-// whose answer is not yet known.
-struct Registry {
-    std::uint64_t next_hire = 1;
-    bool first_rented = false;  // a first rental has been made: later ones are temporary
-    std::vector<Hire> hires;
-    std::vector<Held> machines;
-};
-Json encode_registry(const Registry& registry, const Names& names);
-std::optional<Registry> decode_registry(const Json& value, Names& names);
-
 Json encode_kinds(const std::vector<Kind>& kinds, const Names& names);
 std::vector<Kind> decode_kinds(const Json& value, Names& names);
 
+// The feature level that a controller's version supports.
+Json encode_announcement(std::uint32_t level);
+std::optional<std::uint32_t> decode_announcement(const Json& value);
+
 struct LeaderRecord {
     std::string node;
     std::string incarnation;
--- a/src/bookkeeping/types.hpp
+++ b/src/bookkeeping/types.hpp
@@ -80,11 +80,18 @@
 
 enum class Priority : std::uint8_t { best_effort = 0, normal = 1, high = 2, production = 3 };
 
+// How the tasks of a job belong together.
+enum class JobShape : std::uint8_t {
+    batch,    // independent tasks, each of which runs to completion
+    gang,     // all tasks run at the same time, or none does
+    service,  // independent replicas that run until the job is cancelled
+};
+
 struct JobSpec {
     std::string id;
     Id team = kNone;
     Id lane = kNone;  // the class of jobs it belongs to
-    bool gang = false;
+    JobShape shape = JobShape::batch;
     Priority priority = Priority::normal;
     std::uint32_t tasks = 1;
     Amounts each;
@@ -113,6 +120,12 @@
         }
         return false;
     }
+    bool gang() const { return shape == JobShape::gang; }
+    bool service() const { return shape == JobShape::service; }
+    // Tasks that depend on one another: a gang of one behaves like a batch.
+    bool starts_together() const { return gang() && tasks > 1; }
+    // Tasks of which the team's limit must admit all at once.
+    std::uint32_t needed_at_once() const { return shape == JobShape::batch ? 1 : tasks; }
     std::uint32_t zone_most() const { return spread ? (tasks + 1) / 2 : tasks; }
 };
 
@@ -133,6 +146,11 @@
     Amounts limit;      // 0: none
 };
 
+// Levels of what a version can read (docs/design.md, "Two versions side by side").
+inline constexpr std::uint32_t kFeatureNone = 0;      // version 0.3.0 and before
+inline constexpr std::uint32_t kFeatureServices = 1;  // services, the registry in parts
+inline constexpr std::uint32_t kFeatureNewest = kFeatureServices;
+
 enum class JobStatus : std::uint8_t { pending, running, done, cancelled };
 
 }  // namespace walkford
--- a/src/bookkeeping/view.cpp
+++ b/src/bookkeeping/view.cpp
@@ -49,65 +49,102 @@
         leader_stamp = leader ? row.stamp : 0;
         return true;
     }
-    if (key == keys::kRegistry) {
-        return singleton(registry, registry_stamp);
-    }
     if (key == keys::kKinds) {
         return singleton(kinds, kinds_stamp);
     }
     if (starts(key, keys::kJobs)) {
-        std::string id = key.substr(keys::kJobs.size());
-        auto it = jobs_.find(id);
-        if (it != jobs_.end() && row.stamp <= it->second.stamp) {
-            return false;
-        }
-        if (!row.value) {
-            if (it != jobs_.end()) {
-                jobs_.erase(it);
-            }
-            return true;
-        }
-        auto record = decode_job(id, *row.value, names_);
-        if (!record) {
-            return false;
-        }
-        if (it == jobs_.end()) {
-            jobs_.emplace(id, JobView{std::move(*record), row.stamp, row.stamp});
-        } else {
-            it->second.record = std::move(*record);
-            it->second.stamp = row.stamp;
-        }
-        return true;
+        return apply_job(row);
     }
     if (starts(key, keys::kEnded)) {
-        if (!row.value) {
-            return false;
-        }
-        auto record = decode_ended(*row.value);
-        if (!record) {
-            return false;
-        }
-        remember_ended(key.substr(keys::kEnded.size()), *record);
-        return true;
+        return apply_ended(row);
+    }
+    if (starts(key, keys::kAnnouncements)) {
+        return apply_announcement(row);
+    }
+    if (auto part = keys::parse_registry_part(key)) {
+        return apply_registry_part(row, *part);
     }
     if (auto parsed = keys::parse_chunk(key)) {
-        auto& [id, index] = *parsed;
-        auto& list = chunks_[id];
-        auto it = list.find(index);
-        if (it != list.end() && row.stamp <= it->second.stamp) {
-            return false;
-        }
-        if (row.value) {
-            list[index] = ChunkView{*row.value, row.stamp};
-        } else {
-            list.erase(index);
-        }
-        if (list.empty()) {
-            chunks_.erase(id);
+        return apply_chunk(row, parsed->first, parsed->second);
+    }
+    return false;
+}
+
+bool View::apply_job(const StateRow& row) {
+    std::string id = row.key.substr(keys::kJobs.size());
+    auto it = jobs_.find(id);
+    if (it != jobs_.end() && row.stamp <= it->second.stamp) {
+        return false;
+    }
+    if (!row.value) {
+        if (it != jobs_.end()) {
+            jobs_.erase(it);
         }
         return true;
     }
-    return false;
+    auto record = decode_job(id, *row.value, names_);
+    if (!record) {
+        return false;
+    }
+    if (it == jobs_.end()) {
+        jobs_.emplace(id, JobView{std::move(*record), row.stamp, row.stamp});
+    } else {
+        it->second.record = std::move(*record);
+        it->second.stamp = row.stamp;
+    }
+    return true;
+}
+
+bool View::apply_ended(const StateRow& row) {
+    if (!row.value) {
+        return false;
+    }
+    auto record = decode_ended(*row.value);
+    if (!record) {
+        return false;
+    }
+    remember_ended(row.key.substr(keys::kEnded.size()), *record);
+    return true;
+}
+
+bool View::apply_registry_part(const StateRow& row, std::uint32_t part) {
+    auto it = registry_parts.find(part);
+    if (it != registry_parts.end() && row.stamp <= it->second.stamp) {
+        return false;
+    }
+    if (row.value) {
+        registry_parts[part] = {*row.value, row.stamp};
+    } else if (it != registry_parts.end()) {
+        registry_parts.erase(it);
+    }
+    return true;
+}
+
+bool View::apply_announcement(const StateRow& row) {
+    Announcement& known = announced_levels[row.key.substr(keys::kAnnouncements.size())];
+    auto level = row.value ? decode_announcement(*row.value) : std::nullopt;
+    if (row.stamp <= known.stamp || !level) {
+        return false;
+    }
+    known = {std::max(known.level, *level), row.stamp};
+    return true;
+}
+
+bool View::apply_chunk(const StateRow& row, const std::string& id, std::uint32_t index) {
+    auto& list = chunks_[id];
+    auto it = list.find(index);
+    if (it != list.end() && row.stamp <= it->second.stamp) {
+        return false;
+    }
+    if (row.value) {
+        list[index] = ChunkView{*row.value, row.stamp};
+    } else {
+        list.erase(index);
+    }
+    if (list.empty()) {
+        chunks_.erase(id);
+    }
+    return true;
 }
 
 void View::begin_reading() {
@@ -131,31 +168,43 @@
             }
         }
     }
+    for (const auto& [part, held] : registry_parts) {
+        std::string key = keys::registry_part(part);
+        if (held.stamp <= revision && !seen_.count(key)) {
+            gone.push_back(key);
+        }
+    }
     if (leader_stamp && leader_stamp <= revision && !seen_.count(keys::kLeader)) {
         gone.push_back(keys::kLeader);
     }
     seen_.clear();
-    // The stamp of the drop is unknown; just above what is held keeps any later change newer.
     for (const std::string& key : gone) {
-        if (key == keys::kLeader) {
-            leader.reset();
-            leader_stamp = 0;
-        } else if (starts(key, keys::kJobs)) {
-            jobs_.erase(key.substr(keys::kJobs.size()));
-        } else if (auto parsed = keys::parse_chunk(key)) {
-            auto it = chunks_.find(parsed->first);
-            if (it == chunks_.end()) {
-                continue;
-            }
-            it->second.erase(parsed->second);
-            if (it->second.empty()) {
-                chunks_.erase(it);
-            }
-        }
+        drop_unread(key);
     }
     advance(revision);
 }
 
+// A key that a full reading did not find any more.
+void View::drop_unread(const std::string& key) {
+    if (key == keys::kLeader) {
+        leader.reset();
+        leader_stamp = 0;
+    } else if (starts(key, keys::kJobs)) {
+        jobs_.erase(key.substr(keys::kJobs.size()));
+    } else if (auto part = keys::parse_registry_part(key)) {
+        registry_parts.erase(*part);
+    } else if (auto parsed = keys::parse_chunk(key)) {
+        auto it = chunks_.find(parsed->first);
+        if (it == chunks_.end()) {
+            return;
+        }
+        it->second.erase(parsed->second);
+        if (it->second.empty()) {
+            chunks_.erase(it);
+        }
+    }
+}
+
 const JobView* View::job(const std::string& id) const {
     auto it = jobs_.find(id);
     return it == jobs_.end() ? nullptr : &it->second;
--- a/src/bookkeeping/view.hpp
+++ b/src/bookkeeping/view.hpp
@@ -24,6 +24,11 @@
     std::uint64_t stamp = 0;
 };
 
+struct RegistryPartView {
+    Json value;
+    std::uint64_t stamp = 0;
+};
+
 struct JobView {
     JobRecord record;
     std::uint64_t stamp = 0;
@@ -59,12 +64,23 @@
 
     std::optional<LeaderRecord> leader;
     std::uint64_t leader_stamp = 0;  // 0: nobody leads
-    std::optional<Json> registry;
-    std::uint64_t registry_stamp = 0;
+    // The machine registry by part.
+    std::map<std::uint32_t, RegistryPartView> registry_parts;
+    struct Announcement {
+        std::uint32_t level = 0;
+        std::uint64_t stamp = 0;
+    };
+    std::map<std::string, Announcement> announced_levels;  // by controller
     std::optional<Json> kinds;
     std::uint64_t kinds_stamp = 0;
 
   private:
+    bool apply_job(const StateRow& row);
+    bool apply_ended(const StateRow& row);
+    bool apply_registry_part(const StateRow& row, std::uint32_t part);
+    bool apply_announcement(const StateRow& row);
+    bool apply_chunk(const StateRow& row, const std::string& id, std::uint32_t index);
+    void drop_unread(const std::string& key);
     bool newer(const std::string& key, std::uint64_t stamp);
 
     Names& names_;
--- a/src/coordination/cloud_manager.cpp
+++ b/src/coordination/cloud_manager.cpp
@@ -16,18 +16,15 @@
 void CloudManager::load(Ms now) {
     Core& core = term_.core;
     ClusterState& cluster = term_.cluster;
-    if (!core.view.registry) {
+    if (core.view.registry_parts.empty()) {
         return;
     }
-    auto registry = decode_registry(*core.view.registry, core.names);
-    if (!registry) {
+    if (!registry_.load()) {
         spdlog::error("the machine registry can't be read; nothing is rented or given back");
         return;
     }
-    registry_ = std::move(*registry);
-    stamp_ = core.view.registry_stamp;
     loaded_ = true;
-    for (const Held& h : registry_.machines) {
+    for (const HeldMachine& h : registry_.machines()) {
         Id id = cluster.add_machine(h.name, h.kind, h.zone, h.spot, now);
         Machine& m = cluster.machines[id];
         m.held = true;
@@ -38,88 +35,25 @@
             to_return_.insert(h.name);
         }
     }
-    // Hires whose answer an earlier leader did not record are repeated under their name.
-    for (const Hire& h : registry_.hires) {
-        ask_again_[h.name] = now;
+    // Rentals whose answer an earlier leader did not record are repeated under their name.
+    for (const RentalRequest& rental : registry_.rentals()) {
+        ask_again_[rental.name] = now;
     }
 }
 
 bool CloudManager::first_rented() const {
-    if (registry_.first_rented) {
+    if (registry_.first_rented()) {
         return true;
     }
-    return std::any_of(registry_.hires.begin(), registry_.hires.end(),
-                       [](const Hire& h) { return h.permanent; });
-}
-
-void CloudManager::write(Ms now) {
-    if (writing_ || written_ == version_ || now < write_at_) {
-        return;
-    }
-    writing_ = true;
-    Txn txn;
-    txn.conditions = {{keys::kLeader, term_.token}, {keys::kRegistry, stamp_}};
-    txn.writes = {{keys::kRegistry, encode_registry(registry_, term_.core.names), 0}};
-    term_.core.state.txn(Urgency::placement, std::move(txn),
-                         [this, alive = std::weak_ptr<bool>(term_.alive), version = version_](
-                             Ms at, const StateReply& r) {
-                             if (alive.expired()) {
-                                 return;
-                             }
-                             writing_ = false;
-                             if (r.status == 200) {
-                                 stamp_ = r.revision;
-                                 written_ = version;
-                                 std::vector<Waiting> ready;
-                                 for (auto it = waiting_.begin(); it != waiting_.end();) {
-                                     if (it->version <= written_) {
-                                         ready.push_back(std::move(*it));
-                                         it = waiting_.erase(it);
-                                     } else {
-                                         ++it;
-                                     }
-                                 }
-                                 for (Waiting& w : ready) {
-                                     w.then(at);
-                                 }
-                                 return;
-                             }
-                             write_at_ = at + 250;
-                             if (r.status != 409) {
-                                 return;
-                             }
-                             for (const std::string& failed : r.failed) {
-                                 if (failed == keys::kLeader) {
-                                     term_.depose(at, "a write found another leader");
-                                     return;
-                                 }
-                             }
-                             // An earlier copy of our own write got there; ours is written over it.
-                             writing_ = true;
-                             term_.core.state.get(
-                                 keys::kRegistry,
-                                 [this, alive](Ms, const StateReply& got) {
-                                     if (alive.expired()) {
-                                         return;
-                                     }
-                                     writing_ = false;
-                                     if (got.status == 200 && got.rows.size() == 1) {
-                                         stamp_ = got.rows[0].stamp;
-                                     }
-                                     if (got.status == 404) {
-                                         stamp_ = 0;
-                                     }
-                                 },
-                                 term_.core.out);
-                         });
+    return std::any_of(registry_.rentals().begin(), registry_.rentals().end(),
+                       [](const RentalRequest& h) { return h.permanent; });
 }
 
 // Nothing runs on a machine that the durable registry doesn't list yet: a new leader would take a
 // placement there for one on a machine long gone, and start the task anew.
 void CloudManager::confirm_held() {
-    changed();
-    after_write([this](Ms) {
-        for (const Held& h : registry_.machines) {
+    registry_.after_write([this](Ms) {
+        for (const HeldMachine& h : registry_.machines()) {
             Id id = term_.cluster.find_machine(h.name);
             if (id != kNone) {
                 term_.cluster.machines[id].confirmed = true;
@@ -136,9 +70,9 @@
     if (it != refused_.end() && now < it->second.until) {
         return false;
     }
-    return std::none_of(registry_.hires.begin(), registry_.hires.end(), [&](const Hire& h) {
-        return h.kind == kind && h.zone == zone && h.spot == spot;
-    });
+    return std::none_of(
+        registry_.rentals().begin(), registry_.rentals().end(),
+        [&](const RentalRequest& h) { return h.kind == kind && h.zone == zone && h.spot == spot; });
 }
 
 bool CloudManager::rent(Ms now, Id kind, Id zone, bool spot, std::uint32_t count, bool permanent,
@@ -146,30 +80,18 @@
     if (!can_rent(kind, zone, spot, now) || count == 0) {
         return false;
     }
-    Hire h;
+    RentalRequest h;
     // Unique for ever: the token is, and the counter within it.
-    h.name = "w" + std::to_string(term_.token) + "-" + std::to_string(registry_.next_hire);
+    h.name = "w" + std::to_string(term_.token) + "-" + std::to_string(registry_.next_rental());
     h.kind = kind;
     h.zone = zone;
     h.spot = spot;
     h.count = std::min<std::uint32_t>(count, 50);
     h.permanent = permanent;
-    registry_.hires.push_back(h);
-    std::size_t size = encode_registry(registry_, term_.core.names).dump().size();
-    // Room for the names that this hire and the open ones will bring (a row for each and two
-    // characters a name, and as much again for the rows that marks of returning split off): what
-    // the value can't hold is not rented.
-    for (const Hire& open : registry_.hires) {
-        size += 64 + 4 * open.count;
-    }
-    if (static_cast<double>(size) > term_.core.platform.value_kb * 1024.0) {
-        registry_.hires.pop_back();
-        spdlog::error("the machine registry is full: {} machines are not rented", h.count);
+    if (!registry_.add_rental(h)) {
         return false;
     }
-    ++registry_.next_hire;
-    changed();
-    after_write([this, name = h.name](Ms at) { ask(at, name); });
+    registry_.after_write([this, name = h.name](Ms at) { ask(at, name); });
     // Told once: what is refused time and again goes to the debug log.
     auto again = refused_.find({kind, zone, spot});
     bool repeated = again != refused_.end() && again->second.times > 1;
@@ -177,7 +99,7 @@
                 "rent {}: {} {}{} in {}{}: {}", h.name, h.count, term_.core.names.kinds.name(kind),
                 spot ? " (spot)" : "", term_.core.names.zones.name(zone),
                 permanent ? ", permanent" : "", why);
-    write(now);
+    registry_.write(now);
     return true;
 }
 
@@ -191,12 +113,8 @@
 }
 
 void CloudManager::ask(Ms now, const std::string& name) {
-    auto find = [this, name] {
-        return std::find_if(registry_.hires.begin(), registry_.hires.end(),
-                            [&](const Hire& h) { return h.name == name; });
-    };
-    auto it = find();
-    if (it == registry_.hires.end() || asking_.count(name)) {
+    const RentalRequest* it = registry_.rental(name);
+    if (!it || asking_.count(name)) {
         return;
     }
     asking_.insert(name);
@@ -209,16 +127,18 @@
     c.spot = it->spot;
     c.count = it->count;
     (void)now;
-    term_.core.cloud.call(std::move(c), [this, alive = std::weak_ptr<bool>(term_.alive), name,
-                                         find](Ms at, const CloudReply& r) {
+    term_.core.cloud.call(std::move(c), [this, alive = std::weak_ptr<bool>(term_.alive), name](
+                                            Ms at, const CloudReply& r) {
         if (alive.expired()) {
             return;
         }
         asking_.erase(name);
-        auto hire = find();
-        if (hire == registry_.hires.end()) {
+        const RentalRequest* known = registry_.rental(name);
+        if (!known) {
             return;
         }
+        const RentalRequest request = *known;
+        const RentalRequest* hire = &request;
         ClusterState& cluster = term_.cluster;
         if (r.status == 200) {
             spdlog::info("hire {}: {} of {} machines", name, r.names.size(), hire->count);
@@ -244,31 +164,29 @@
                 m.zone = hire->zone;
                 m.spot = hire->spot;
                 strays_.erase(machine);
-                registry_.machines.push_back(
+                registry_.add_machine(
                     {machine, hire->kind, hire->zone, hire->spot, hire->permanent, false});
             }
             if (!r.names.empty()) {
-                registry_.first_rented = true;
+                registry_.set_first_rented();
             }
-            registry_.hires.erase(hire);
+            registry_.remove_rental(name);
             term_.place_now = true;
             confirm_held();
-            write(at);
+            registry_.write(at);
         } else if (r.status == 503 && r.more) {
             // No capacity: surely not executed. (`more` is set for that answer alone.)
             auto again = refused_.find({hire->kind, hire->zone, hire->spot});
             spdlog::log(again != refused_.end() ? spdlog::level::debug : spdlog::level::info,
                         "hire {}: no capacity", name);
             ran_out(at, hire->kind, hire->zone, hire->spot);
-            registry_.hires.erase(hire);
-            changed();
-            write(at);
+            registry_.remove_rental(name);
+            registry_.write(at);
         } else if (r.status == 400) {
             spdlog::error("hire {} was refused as malformed", name);
             refused_[{hire->kind, hire->zone, hire->spot}] = {at + 60000, 1};
-            registry_.hires.erase(hire);
-            changed();
-            write(at);
+            registry_.remove_rental(name);
+            registry_.write(at);
         } else {
             // No answer, an outage or too many requests: the same name again until it is known.
             ask_again_[name] = at + (r.status == 429 ? 1000 : 1500);
@@ -286,18 +204,13 @@
                  m.kind == kNone ? "?" : term_.core.names.kinds.name(m.kind),
                  m.spot ? ", spot" : "", why);
     std::string name = m.name;
-    for (Held& h : registry_.machines) {
-        if (h.name == name) {
-            h.returning = true;
-        }
-    }
+    registry_.mark_returning(name);
     if (!m.held) {
         to_return_.insert(name);
         return;
     }
-    changed();
-    after_write([this, name](Ms) { to_return_.insert(name); });
-    write(now);
+    registry_.after_write([this, name](Ms) { to_return_.insert(name); });
+    registry_.write(now);
 }
 
 void CloudManager::ask_return(Ms now) {
@@ -349,9 +262,8 @@
     if (!held) {
         return;
     }
-    std::erase_if(registry_.machines, [&](const Held& h) { return h.name == name; });
-    changed();
-    write(now);
+    registry_.remove_machine(name);
+    registry_.write(now);
 }
 
 void CloudManager::list(Ms now, const std::string& after) {
@@ -386,6 +298,7 @@
 
 void CloudManager::adopt(Ms now) {
     // The very first list: what is there at the start is ours, and permanent.
+    registry_.create();
     ClusterState& cluster = term_.cluster;
     for (const CloudMachine& c : listed_) {
         if (c.status == CloudStatus::failed) {
@@ -396,18 +309,20 @@
         Machine& m = cluster.machines[id];
         m.held = true;
         m.permanent = true;
-        registry_.machines.push_back({c.name, m.kind, m.zone, m.spot, true, false});
+        registry_.add_machine({c.name, m.kind, m.zone, m.spot, true, false});
+    }
+    if (registry_.size() > 0) {
+        registry_.set_first_rented();
     }
-    registry_.first_rented = !registry_.machines.empty();
     loaded_ = true;
-    spdlog::info("{} machines at the start, permanent", registry_.machines.size());
+    spdlog::info("{} machines at the start, permanent", registry_.size());
     confirm_held();
-    write(now);
+    registry_.write(now);
 }
 
 void CloudManager::take_list(Ms now) {
     ClusterState& cluster = term_.cluster;
-    if (!loaded_ && term_.core.view.registry) {
+    if (!loaded_ && !term_.core.view.registry_parts.empty()) {
         return;  // unreadable: touch nothing
     }
     if (!loaded_) {
@@ -557,7 +472,7 @@
 
 void CloudManager::tick(Ms now) {
     if (term_.act) {
-        write(now);
+        registry_.write(now);
     }
     if (!term_.act) {
         return;
--- a/src/coordination/cloud_manager.hpp
+++ b/src/coordination/cloud_manager.hpp
@@ -2,13 +2,15 @@
 #pragma once
 
 #include "coordination/core.hpp"
+#include "coordination/registry_store.hpp"
 #include "coordination/term_fwd.hpp"
 
 namespace walkford {
 
 class CloudManager {
   public:
-    CloudManager(Term& term, TaskLifecycle& lifecycle) : term_(term), lifecycle_(lifecycle) {}
+    CloudManager(Term& term, TaskLifecycle& lifecycle)
+        : term_(term), lifecycle_(lifecycle), registry_(term) {}
 
     void load(Ms now);
     void tick(Ms now);
@@ -20,20 +22,11 @@
 
     bool can_rent(Id kind, Id zone, bool spot, Ms now) const;
     bool known() const { return loaded_; }
-    const std::vector<Hire>& hires() const { return registry_.hires; }
+    const std::vector<RentalRequest>& rentals() const { return registry_.rentals(); }
     bool first_rented() const;
 
   private:
-    struct Waiting {
-        std::uint64_t version = 0;
-        std::function<void(Ms)> then;
-    };
-    void changed() { ++version_; }
-    void after_write(std::function<void(Ms)> then) {
-        waiting_.push_back({version_, std::move(then)});
-    }
     void confirm_held();
-    void write(Ms now);
     void ask(Ms now, const std::string& hire);
     void ask_return(Ms now);
     void list(Ms now, const std::string& after);
@@ -45,15 +38,9 @@
 
     Term& term_;
     TaskLifecycle& lifecycle_;
-    Registry registry_;
-    bool loaded_ = false;  // the registry is known (read, or made from the first list)
-    std::uint64_t stamp_ = 0;
-    std::uint64_t version_ = 0;
-    std::uint64_t written_ = 0;
-    bool writing_ = false;
-    Ms write_at_ = 0;
-    std::vector<Waiting> waiting_;
-    std::set<std::string> asking_;         // hires with a request open
+    RegistryStore registry_;
+    bool loaded_ = false;           // the registry is known (read, or made from the first list)
+    std::set<std::string> asking_;  // rentals with a request open
     std::map<std::string, Ms> ask_again_;  // ... or to be repeated
     void ran_out(Ms now, Id kind, Id zone, bool spot);
     struct Refusal {
--- a/src/coordination/core.hpp
+++ b/src/coordination/core.hpp
@@ -80,7 +80,8 @@
         : platform(std::move(p)),
           policy(std::move(q)),
           view(names),
-          state(platform.state_write_rps, static_cast<std::uint32_t>(platform.peers.size() + 1)),
+          state(platform.state_limits, platform.next_state_limits,
+                static_cast<std::uint32_t>(platform.peers.size() + 1)),
           cloud(platform.cloud_rps),
           rng(seed) {
         for (const Team& t : platform.teams) {
@@ -97,13 +98,20 @@
     StateClient state;
     CloudClient cloud;
     PendingCalls<WorkerReply> workers;
-    std::vector<Kind> kinds;  // empty: not known yet
+    std::uint32_t cluster_level = kFeatureNone;  // the lowest of all controllers, see FeatureLevel
+    std::vector<Kind> kinds;                     // empty: not known yet
     std::mt19937_64 rng;
     Outputs out;
 
     // Reads microseconds spent; injected, so that tests stay the same every time.
     std::function<std::int64_t()> stopwatch = [] { return 0; };
 
+    bool may_write(std::uint32_t feature) const {
+        return cluster_level >= feature && platform.feature_level >= feature;
+    }
+    // All controllers once ran a later version than this one.
+    bool newer_than_supported() const { return cluster_level > platform.feature_level; }
+
     Ms jitter(Ms most) { return std::uniform_int_distribution<Ms>(0, most)(rng); }
 };
 
--- /dev/null
+++ b/src/coordination/feature_level.hpp
@@ -0,0 +1,31 @@
+// Which stored forms may be written while controllers of two versions serve side by side.
+//
+// Every controller announces the feature level of its version durably, in a record of its own.
+// The cluster's level is the lowest of all configured controllers; one that has announced nothing
+// runs version 0.3.0 or older, level 0. A controller never goes back to an earlier version, so the
+// level only rises, and a controller that is down does not hold it back once it has announced.
+// Forms above the cluster's level are read, but not written.
+#pragma once
+
+#include "coordination/core.hpp"
+
+namespace walkford {
+
+class FeatureLevel {
+  public:
+    explicit FeatureLevel(Core& core) : core_(core) {}
+
+    // Announces this controller's level where its record does not show it yet.
+    void tick(Ms now);
+    // Reads the cluster's level from the view into the core.
+    void view_changed();
+
+  private:
+    std::uint32_t announced_by(const std::string& node) const;
+
+    Core& core_;
+    bool writing_ = false;
+    Ms write_at_ = 0;
+};
+
+}  // namespace walkford
--- a/src/coordination/gang_reservation.cpp
+++ b/src/coordination/gang_reservation.cpp
@@ -16,6 +16,7 @@
 constexpr std::size_t kLooksPerMs = 100;
 constexpr Ms kStopEvery = 1000;       // one gang at a time has work stopped for it
 constexpr Ms kWorthStopping = 10000;  // ... and only to start so much sooner
+constexpr Ms kServiceEnd = 86400000;  // a replica runs until its job is cancelled
 constexpr Ms kSameZone = 5000;        // a zone begun with is not left for less
 }  // namespace
 
@@ -26,6 +27,9 @@
     if (t.halting) {
         return now + to_ms(s.save_s + term_.core.platform.report_s);
     }
+    if (s.service()) {
+        return now + kServiceEnd;
+    }
     Ms run = to_ms(s.estimate_s);
     if (t.running_since < 0) {
         const Kind* kind = cluster.kind(cluster.machines[t.machine].kind);
--- a/src/coordination/leader.cpp
+++ b/src/coordination/leader.cpp
@@ -10,6 +10,8 @@
 namespace {
 constexpr std::size_t kMostWritesOpen = 24;
 constexpr Ms kRetry = 250;
+constexpr Ms kRetryRefused = 5000;   // too large for the state service: not soon again
+constexpr double kServiceStart = 5;  // seconds within which a replica is wanted where no aim says
 }  // namespace
 
 void TaskLifecycle::lost(TaskRef ref, Ms now, const char* why, bool began) {
@@ -23,7 +25,7 @@
                   cluster.machines[t.machine].name, why);
     cluster.requeue(ref, now);
     term_.place_now = true;
-    if (!j.spec.gang || j.spec.tasks <= 1 || j.placed == 0) {
+    if (!j.spec.starts_together() || j.placed == 0) {
         return;
     }
     // A gang that has not begun keeps waiting, and a replacement with the same attempt completes
@@ -68,7 +70,7 @@
 void TaskLifecycle::halt(TaskRef ref, double grace, Ms now, bool excused) {
     ClusterState& cluster = term_.cluster;
     Job& j = cluster.jobs[ref.job];
-    if (j.spec.gang && j.spec.tasks > 1) {
+    if (j.spec.starts_together()) {
         halt_job(ref.job, grace, now, excused);
         return;
     }
@@ -133,6 +135,9 @@
     if (core.policy.place_order == "aim") {
         cluster.start_budget = [&core](const JobSpec& s) {
             double budget = s.deadline_s >= 0 ? std::max(0.0, s.deadline_s - s.estimate_s) : 600.0;
+            if (s.service()) {
+                budget = kServiceStart;
+            }
             for (const WaitAim& aim : core.platform.wait_aims) {
                 if (core.names.lanes.find(aim.lane) == s.lane) {
                     budget = std::min(budget, aim.within_s);
@@ -297,6 +302,10 @@
             }
             b.dirty.insert({job, index});
             chunk.retry_at = at + kRetry;
+            if (r.status == 400) {
+                spdlog::error("the state service refuses the record {} as too large", key);
+                chunk.retry_at = at + kRetryRefused;
+            }
             if (r.status == 409) {
                 spdlog::debug("write of {} found {} changed", key, fmt::join(r.failed, " "));
             }
@@ -356,7 +365,7 @@
             if (j.placed == 0) {
                 end_job(now, id, true);
             }
-        } else if (j.done == j.spec.tasks) {
+        } else if (!j.spec.service() && j.done == j.spec.tasks) {
             end_job(now, id, false);
         }
     }
@@ -375,7 +384,7 @@
         if (!j.chunks[c] || (j.chunks[c]->stamp == 0 && !j.chunks[c]->in_flight)) {
             continue;
         }
-        if (txn.writes.size() < term_.core.platform.txn_ops) {
+        if (txn.writes.size() < term_.core.state.limits().txn_ops()) {
             txn.writes.push_back({keys::chunk(j.spec.id, c), std::nullopt, 0});
         } else {
             left.push_back(c);
@@ -423,7 +432,7 @@
     }
     Txn txn;
     txn.conditions = {{keys::kLeader, term_.token}, {keys::job(id), 0}};
-    while (!left.empty() && txn.writes.size() < term_.core.platform.txn_ops) {
+    while (!left.empty() && txn.writes.size() < term_.core.state.limits().txn_ops()) {
         txn.writes.push_back({keys::chunk(id, left.back()), std::nullopt, 0});
         left.pop_back();
     }
--- a/src/coordination/leadership.cpp
+++ b/src/coordination/leadership.cpp
@@ -11,7 +11,7 @@
         }
         return;
     }
-    if (campaigning_ || !keeper_.ready()) {
+    if (campaigning_ || !keeper_.ready() || core_.newer_than_supported()) {
         return;
     }
     if (core_.view.leader_stamp != 0) {
--- a/src/coordination/node.cpp
+++ b/src/coordination/node.cpp
@@ -24,7 +24,8 @@
 // lease, drift, and what a report and an answer take on their way.
 constexpr Ms kCancelMargin = 2500;
 constexpr Ms kNoHeartbeats = 8000;  // a leader whom no worker reaches for so long gives up ...
-constexpr Ms kStandBack = 15000;    // ... and leaves the next elections to others for so long
+constexpr Ms kOthersReachedFor = 3000;
+constexpr Ms kStandBack = 15000;  // ... and leaves the next elections to others for so long
 constexpr Ms kLetOthers = 3000;
 constexpr Ms kAlone = 4000;
 constexpr Ms kStayOut = 2500;
@@ -34,6 +35,7 @@
     : core_(std::move(platform), std::move(policy), seed),
       keeper_(core_),
       leadership_(core_, keeper_),
+      feature_level_(core_),
       users_(core_, keeper_),
       peers_(core_.platform.peers.size()) {
     keeper_.set_watch_spacing(kFollowerWatchSpacing);
@@ -173,6 +175,9 @@
             core_.kinds = decode_kinds(*core_.view.kinds, core_.names);
         }
     }
+    if (key.empty() || key.rfind(keys::kAnnouncements, 0) == 0) {
+        feature_level_.view_changed();
+    }
     if (key == keys::kLeader || key.empty()) {
         leadership_.view_changed(now);
     }
@@ -231,6 +236,9 @@
 void Node::tick(Ms now) {
     keeper_.tick(now);
     leadership_.tick(now);
+    if (keeper_.ready()) {
+        feature_level_.tick(now);
+    }
     users_.tick(now);
     if (leader_ && now >= barrier_at_) {
         // Proves every second that no cancellation was missed, whatever the watch does.
@@ -260,7 +268,8 @@
 }
 
 bool Node::ready(Ms now) const {
-    return keeper_.ready() && !core_.kinds.empty() && now >= unready_until_ && !alone(now);
+    return keeper_.ready() && !core_.kinds.empty() && now >= unready_until_ && !alone(now) &&
+           !core_.newer_than_supported();
 }
 
 // An outage that all nodes see takes no node out. One that is refused alone steps out: a peer tells
@@ -276,11 +285,21 @@
 }
 
 // Cut off from its workers only, a leader would keep its lease while theirs run out.
-bool Node::out_of_reach(Ms now) const {
+bool Node::out_of_reach(Ms now) {
     // (A new leader has yet to be found by them: its own silence as a follower says nothing.)
-    if (!leader_ || now - std::max(heartbeat_at_, leader_->term().elected_at) < kNoHeartbeats) {
+    if (!leader_ || now - std::max(heartbeat_at_, leader_->term().elected_at) < kNoHeartbeats ||
+        !others_are_reached(now)) {
+        others_reached_since_ = -1;
         return false;
     }
+    if (others_reached_since_ < 0) {
+        others_reached_since_ = now;
+    }
+    // The first machine of a new cluster may ask another controller first, and is then sent to us.
+    return now - others_reached_since_ >= kOthersReachedFor;
+}
+
+bool Node::others_are_reached(Ms now) const {
     return std::any_of(peers_.begin(), peers_.end(), [now](const PeerMonitor& p) {
         return p.heard_within(now, 1500) && p.last().heartbeat_quiet_ms >= 0 &&
                p.last().heartbeat_quiet_ms < kNoHeartbeats / 3;
--- a/src/coordination/node.hpp
+++ b/src/coordination/node.hpp
@@ -2,6 +2,7 @@
 // and answer; it knows no socket and no clock, and is the same every time for the same inputs.
 #pragma once
 
+#include "coordination/feature_level.hpp"
 #include "coordination/leader.hpp"
 #include "coordination/leadership.hpp"
 #include "coordination/peer_monitor.hpp"
@@ -34,7 +35,8 @@
     void heartbeat(Ms now, const HeartbeatRequest& heartbeat);
     void hear(Ms now, std::size_t peer, const PeerHeartbeat& fact);
     void send_peer_heartbeats(Ms now);
-    bool out_of_reach(Ms now) const;
+    bool out_of_reach(Ms now);
+    bool others_are_reached(Ms now) const;
     bool alone(Ms now) const;
     bool refused_alone(Ms now) const;
     Ms horizon();
@@ -45,12 +47,14 @@
     Core core_;
     ViewKeeper keeper_;
     Leadership leadership_;
+    FeatureLevel feature_level_;
     UserRequests users_;
     std::unique_ptr<Leader> leader_;
     std::vector<PeerMonitor> peers_;
     Ms started_ = -1;
     Ms peer_heartbeat_at_ = 0;
     Ms barrier_at_ = 0;
+    Ms others_reached_since_ = -1;
     Ms heartbeat_at_ = -1;  // a worker last reported to this node
     std::uint64_t sequence_ = 0;
     bool was_ready_ = false;
--- a/src/coordination/placer.cpp
+++ b/src/coordination/placer.cpp
@@ -162,12 +162,12 @@
 bool Placer::over_in_time(const JobSpec& s, const Machine& m, double fetch_s) const {
     // Estimates are often wrong by half.
     double span = fetch_s + 1.5 * s.estimate_s + 2 * term_.core.platform.report_s;
-    return !(s.gang && s.tasks > 1) && s.estimate_s > 0 && now_ + to_ms(span) <= m.kept_ready;
+    return !s.starts_together() && s.estimate_s > 0 && now_ + to_ms(span) <= m.kept_ready;
 }
 
 bool Placer::may_stop(const Job& v, const Job& j) const {
     const ClusterState& cluster = term_.cluster;
-    if (v.spec.gang && v.spec.tasks > 1) {
+    if (v.spec.starts_together()) {
         return false;
     }
     if (rank_of(v) >= static_cast<int>(j.spec.priority)) {
@@ -562,13 +562,13 @@
     const JobSpec& s = j.spec;
     // What it has risen to it keeps, or it would be stopped again as soon as it began.
     j.rank = std::max(j.rank, risen(j, now, policy.rise_s));
-    if (s.gang && j.placed > 0) {
+    if (s.gang() && j.placed > 0) {
         // Not kept back by who waits for the limit: that one may be waiting for what this gang
         // holds, and the two would wait for each other for ever.
         replace_members(now, id);
         return;
     }
-    std::uint32_t least = s.gang ? s.tasks : 1;
+    std::uint32_t least = s.gang() ? s.tasks : 1;
     Blocked& blocked = blocked_[s.team];
     auto rank = static_cast<int>(s.priority);
     if ((s.each.cpus > 0 && rank <= blocked.cpus) || (s.each.gpus > 0 && rank <= blocked.gpus)) {
@@ -585,7 +585,7 @@
         }
         return;
     }
-    if (!s.gang) {
+    if (!s.gang()) {
         place_batch(now, id);
     } else if (!place_gang(now, id) && s.tasks > 1 && gathering_ < policy.gather &&
                now >= j.waiting_since + to_ms(policy.gather_after_s)) {
@@ -604,7 +604,7 @@
     running_.clear();
     for (Id id = 0; id < cluster.jobs.size(); ++id) {
         const Job& j = cluster.jobs[id];
-        if (!j.alive || j.placed == 0 || (j.spec.gang && j.spec.tasks > 1)) {
+        if (!j.alive || j.placed == 0 || j.spec.starts_together()) {
             continue;
         }
         auto [it, fresh] = running_.try_emplace({j.spec.lane, j.spec.team}, id);
@@ -631,7 +631,7 @@
         if (now < j.waiting_since + to_ms(term_.core.policy.preempt_after_s)) {
             continue;
         }
-        if ((s.gang && s.tasks > 1) || !cluster.within_limit(s.team, s.each)) {
+        if (s.starts_together() || !cluster.within_limit(s.team, s.each)) {
             continue;
         }
         bool guaranteed = cluster.within_guarantee(s.team, s.each);
@@ -695,7 +695,7 @@
         for (TaskRef ref : m.tasks) {
             const Job& v = cluster.jobs[ref.job];
             const Task& t = cluster.task(ref);
-            if (t.halting || (v.spec.gang && v.spec.tasks > 1)) {
+            if (t.halting || v.spec.starts_together()) {
                 continue;
             }
             auto [it, fresh] = may.try_emplace(ref.job, false);
--- a/src/coordination/policy.hpp
+++ b/src/coordination/policy.hpp
@@ -1,10 +1,12 @@
 // What operators may set, and what the platform hands over.
 #pragma once
 
+#include <optional>
 #include <string>
 #include <vector>
 
 #include "bookkeeping/types.hpp"
+#include "coordination/state_limits.hpp"
 
 namespace walkford {
 
@@ -14,7 +16,7 @@
     double mark_high = 0.85;
     double out_interval_s = 4;
     double in_interval_s = 2;
-    std::uint32_t cap_per_kind = 1000;
+    std::uint32_t cap_per_kind = 10000;
     std::uint32_t permanent_first = 1;
     std::string order = "cost";  // cost | cores
     bool rent_unplaceable = true;
@@ -69,13 +71,13 @@
     double gang_wait_s = 30;
     double gang_peer_s = 4;
     double cancel_s = 30;
-    double state_rps = 100;
-    double state_write_rps = 20;
-    double value_kb = 4;
-    std::uint32_t txn_ops = 8;
+    StateLimits state_limits;
+    std::optional<StateLimits> next_state_limits;
     double cloud_rps = 4;
     double list_lag_s = 5;
     std::uint32_t fd_limit = 512;
+    // What this version can read; less only where a test stands in for an earlier one.
+    std::uint32_t feature_level = kFeatureNewest;
 };
 
 }  // namespace walkford
--- /dev/null
+++ b/src/coordination/registry_store.hpp
@@ -0,0 +1,88 @@
+// Keeps the durable list of machines: one value while it fits, several beyond that.
+//
+// Part 0, the first value, holds the rental requests and, while there is no other part, all
+// machines. Once they do not fit any more and every controller reads parts, the machines move to
+// parts of their own. A machine stands where any part names it: parts are written before the first
+// value that ceases to name their machines, so that a reader between two writes misses none.
+#pragma once
+
+#include <functional>
+
+#include "bookkeeping/registry_record.hpp"
+#include "coordination/core.hpp"
+#include "coordination/term_fwd.hpp"
+
+namespace walkford {
+
+class RegistryStore {
+  public:
+    explicit RegistryStore(Term& term) : term_(term) { parts_[0]; }
+
+    // Takes in what an earlier leader wrote; false if there is nothing, or it can't be read.
+    bool load();
+    // There is nothing yet: the first value is written, also where it names no machine.
+    void create() { touch(0); }
+
+    const std::vector<RentalRequest>& rentals() const { return rentals_; }
+    const RentalRequest* rental(const std::string& name) const;
+    std::uint64_t next_rental() const { return next_rental_; }
+    bool first_rented() const { return first_rented_; }
+    std::size_t size() const { return part_of_.size(); }
+    std::vector<HeldMachine> machines() const;
+    std::size_t parts() const { return parts_.size(); }
+
+    // False where what the state service holds in a value has no room for it.
+    bool add_rental(const RentalRequest& rental);
+    void remove_rental(const std::string& name);
+    void set_first_rented();
+    void add_machine(const HeldMachine& machine);
+    void remove_machine(const std::string& name);
+    void mark_returning(const std::string& name);
+
+    // Calls once all that has changed so far is durable.
+    void after_write(std::function<void(Ms)> then);
+    void write(Ms now);
+
+  private:
+    using Version = std::uint64_t;
+    struct Part {
+        std::map<std::string, HeldMachine> machines;
+        std::uint64_t stamp = 0;
+        std::size_t bytes = 0;  // as last encoded, and what was added since
+        Version changed = 0;    // the first change that is not sent yet; 0: none
+        Version in_flight = 0;  // ... that is sent, but not answered
+        bool dropping = false;  // what is in flight takes its key away
+    };
+    struct Waiting {
+        Version version = 0;
+        std::function<void(Ms)> then;
+    };
+
+    void touch(std::uint32_t part);
+    bool divided() const { return parts_.size() > 1; }
+    bool may_divide() const;
+    void divide();
+    std::size_t part_limit() const;
+    static bool has_row_for(const Part& part, const HeldMachine& machine);
+    std::uint32_t part_for(const HeldMachine& machine) const;
+    Json encode(std::uint32_t part) const;
+    std::size_t first_value_bytes() const;
+    Version durable() const;
+    void send(const std::vector<std::uint32_t>& parts);
+    void written(Ms now, const std::vector<std::uint32_t>& parts, const StateReply& reply);
+    void read_stamps(std::vector<std::string> keys);
+    void tell_waiting(Ms now);
+
+    Term& term_;
+    std::map<std::uint32_t, Part> parts_;                     // part 0 is always there
+    std::unordered_map<std::string, std::uint32_t> part_of_;  // by machine
+    std::vector<RentalRequest> rentals_;
+    std::uint64_t next_rental_ = 1;
+    bool first_rented_ = false;
+    Version version_ = 0;
+    bool writing_ = false;
+    Ms write_at_ = 0;
+    std::vector<Waiting> waiting_;
+};
+
+}  // namespace walkford
--- a/src/coordination/scaler.cpp
+++ b/src/coordination/scaler.cpp
@@ -68,7 +68,7 @@
         measure_.capacity += kind->size;
         rooms_.push_back({kind->size - m.used, m.kind, m.zone, id, m.spot, false});
     }
-    for (const Hire& h : cloud.hires()) {
+    for (const RentalRequest& h : cloud.rentals()) {
         const Kind* kind = cluster.kind(h.kind);
         if (!kind) {
             continue;
@@ -103,7 +103,7 @@
         if (blocked.count(j.spec.team)) {
             continue;
         }
-        if (most < (j.spec.gang ? n : 1)) {
+        if (most < (j.spec.gang() ? n : 1)) {
             blocked.insert(j.spec.team);
             continue;
         }
@@ -371,7 +371,7 @@
     for (const auto& [where, count] : held_) {
         n += where.first == kind ? count : 0;
     }
-    for (const Hire& h : cloud.hires()) {
+    for (const RentalRequest& h : cloud.rentals()) {
         n += h.kind == kind ? h.count : 0;
     }
     return n;
--- a/src/coordination/state_client.cpp
+++ b/src/coordination/state_client.cpp
@@ -7,11 +7,24 @@
 
 namespace walkford {
 
-StateClient::StateClient(double write_rps, std::uint32_t nodes) {
-    // The allowance is shared by all nodes without asking one another: the leader writes most.
-    double others = nodes > 1 ? 0.3 / (nodes - 1) : 0.3;
-    rate_lead_ = std::max(1.0, write_rps * 0.65);
-    rate_follow_ = std::max(0.5, write_rps * others);
+namespace {
+// The allowance is shared by all nodes without asking one another: the leader writes most.
+constexpr double kLeaderShare = 0.65;
+constexpr double kFollowersShare = 0.3;
+constexpr Ms kPauseAfterRefusal = 120;
+}  // namespace
+
+StateClient::StateClient(const StateLimits& current, const std::optional<StateLimits>& next,
+                         std::uint32_t nodes)
+    : limits_(current, next), nodes_(nodes) {}
+
+double StateClient::rate() const {
+    double allowed = limits_.writes_per_s();
+    if (leading_) {
+        return std::max(1.0, allowed * kLeaderShare);
+    }
+    double others = nodes_ > 1 ? kFollowersShare / (nodes_ - 1) : kFollowersShare;
+    return std::max(0.5, allowed * others);
 }
 
 CallId StateClient::open(Pending pending) {
@@ -105,8 +118,12 @@
         ++refused_;
     }
     if (reply.status == 429) {
-        held_until_ = std::max(held_until_, now + 120);
+        held_until_ = std::max(held_until_, now + kPauseAfterRefusal);
         if (p.txn) {
+            if (limits_.refused(now)) {
+                spdlog::info("the state service admits fewer changes: {:.1f} a second",
+                             limits_.writes_per_s());
+            }
             // Not executed: it goes back to the head of its queue.
             queues_[static_cast<std::size_t>(p.txn->first)].push_front(
                 {std::move(p.txn->second), std::move(p.then)});
@@ -121,9 +138,9 @@
 
 void StateClient::pump(Ms now, Outputs& out) {
     clock_ = now;
-    double rate = leading_ ? rate_lead_ : rate_follow_;
-    tokens_ = std::min(std::max(2.0, rate * 0.8),
-                       tokens_ + rate * static_cast<double>(now - refilled_) / 1000.0);
+    double allowed = rate();
+    double burst = std::max(2.0, allowed * 0.8);
+    tokens_ = std::min(burst, tokens_ + allowed * static_cast<double>(now - refilled_) / 1000.0);
     refilled_ = now;
     if (now < held_until_) {
         return;
@@ -133,7 +150,7 @@
         while (!queue.empty()) {
             double cost = static_cast<double>(queue.front().txn.writes.size());
             // A transaction larger than the bucket goes once the bucket is full.
-            if (u != 0 && tokens_ < std::min(cost, std::max(2.0, rate * 0.8))) {
+            if (u != 0 && tokens_ < std::min(cost, burst)) {
                 return;
             }
             tokens_ -= cost;
--- a/src/coordination/state_client.hpp
+++ b/src/coordination/state_client.hpp
@@ -19,7 +19,8 @@
   public:
     using Then = std::function<void(Ms, const StateReply&)>;
 
-    StateClient(double write_rps, std::uint32_t nodes);
+    StateClient(const StateLimits& current, const std::optional<StateLimits>& next,
+                std::uint32_t nodes);
 
     void get(const std::string& key, Then then, Outputs& out);
     void list(const std::string& prefix, const std::string& after, Then then, Outputs& out);
@@ -40,6 +41,7 @@
     // Refusals or silences in a row.
     int refused() const { return refused_; }
     std::size_t queued() const;
+    const StateLimitsInForce& limits() const { return limits_; }
 
   private:
     struct Pending {
@@ -57,8 +59,11 @@
     Ms clock_ = 0;
     std::unordered_map<CallId, Pending> pending_;
     std::array<std::deque<Queued>, kUrgencies> queues_;
-    double rate_lead_;
-    double rate_follow_;
+    // This node's share of the writes that the state service admits.
+    double rate() const;
+
+    StateLimitsInForce limits_;
+    std::uint32_t nodes_;
     double tokens_ = 4;
     Ms refilled_ = 0;
     Ms held_until_ = 0;
--- /dev/null
+++ b/src/coordination/state_limits.hpp
@@ -0,0 +1,68 @@
+// The state service's limits: those in the settings, those that will replace them at a moment
+// nobody announces, and which of them to obey.
+#pragma once
+
+#include <algorithm>
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <optional>
+
+#include "bookkeeping/types.hpp"
+
+namespace walkford {
+
+struct StateLimits {
+    double requests_per_s = 100;
+    double writes_per_s = 20;
+    double value_kb = 4;
+    std::uint32_t txn_ops = 8;
+};
+
+// Sizes obey the smaller of both from the start: what is small enough for the later limits is valid
+// under the earlier ones too. The rate falls to the later one once refusals show that it is in
+// force. One refusal shows nothing, since other controllers share the allowance; several within a
+// few seconds from a controller that keeps to its share do. It never rises again.
+class StateLimitsInForce {
+  public:
+    StateLimitsInForce(const StateLimits& current, const std::optional<StateLimits>& next)
+        : current_(current), next_(next.value_or(current)) {}
+
+    std::size_t value_bytes() const {
+        return static_cast<std::size_t>(std::min(current_.value_kb, next_.value_kb) * 1024.0);
+    }
+    // What a value may hold until the later limits are in force.
+    std::size_t current_value_bytes() const {
+        return static_cast<std::size_t>(current_.value_kb * 1024.0);
+    }
+    std::uint32_t txn_ops() const { return std::min(current_.txn_ops, next_.txn_ops); }
+    double writes_per_s() const {
+        return lowered_ ? std::min(current_.writes_per_s, next_.writes_per_s)
+                        : current_.writes_per_s;
+    }
+    bool lowered() const { return lowered_; }
+
+    // A write was refused for the rate. True if this shows that the later limits are in force.
+    bool refused(Ms now) {
+        if (lowered_ || next_.writes_per_s >= current_.writes_per_s) {
+            return false;
+        }
+        refusals_.push_back(now);
+        while (refusals_.front() + kWindow < now) {
+            refusals_.pop_front();
+        }
+        lowered_ = refusals_.size() >= kProof;
+        return lowered_;
+    }
+
+  private:
+    static constexpr std::size_t kProof = 3;
+    static constexpr Ms kWindow = 10000;
+
+    StateLimits current_;
+    StateLimits next_;
+    std::deque<Ms> refusals_;
+    bool lowered_ = false;
+};
+
+}  // namespace walkford
--- a/src/coordination/user_requests.cpp
+++ b/src/coordination/user_requests.cpp
@@ -12,6 +12,11 @@
 constexpr Ms kWriteBudget = 4000;
 constexpr Ms kPollBudget = 1500;
 constexpr std::size_t kLeastOpen = 400;  // ... by as many as a third of the node's sockets
+// When to come back with what waits for an upgrade: controllers restart within seconds.
+constexpr int kRetryAfterUpgradeS = 5;
+constexpr std::size_t kTaskRecordBytes = 48;  // of a placement record, one task
+constexpr std::size_t kLeastChunk = 4;
+constexpr std::size_t kMostChunk = 64;
 }  // namespace
 
 void UserRequests::answer(RequestId request, UserAnswer a) {
@@ -169,11 +174,11 @@
         return "a task fits no allowed machine type";
     }
     // (Of an array, half of the tasks may run after the other half.)
-    if (s.gang && s.spread && s.tasks > 1 && (s.one_zone || zones.size() < 2)) {
+    if (s.starts_together() && s.spread && (s.one_zone || zones.size() < 2)) {
         return "all tasks at once and spread over zones, with one zone to be in";
     }
     const Team& team = core_.platform.teams[s.team];
-    double n = s.gang ? s.tasks : 1.0;
+    double n = s.needed_at_once();
     auto over = [&](double each, double limit) { return limit > 0 && each * n > limit + 1e-6; };
     if (over(s.each.cpus, team.limit.cpus) || over(s.each.gpus, team.limit.gpus)) {
         return "needs more than the team's limit";
@@ -181,6 +186,15 @@
     return {};
 }
 
+// Never accepted? Only a proven look may say so.
+void UserRequests::refuse_for_good(Ms now, RequestId request, const std::string& id,
+                                   const std::string& why) {
+    tell_fresh(now, request, id, false, [this, request, why, id](Ms) {
+        spdlog::info("refused {}: {}", id, why);
+        refuse(request, 422, why);
+    });
+}
+
 void UserRequests::submit(Ms now, SubmitRequest q) {
     const std::string id = q.spec.id;
     RequestId request = q.request;
@@ -205,13 +219,15 @@
         refuse(request, 503, "machine types not known yet");
         return;
     }
+    // An older controller would take it for a batch, and call it done.
+    if (q.spec.service() && !core_.may_write(kFeatureServices)) {
+        refuse(request, 503, "services are taken once all controllers are upgraded",
+               kRetryAfterUpgradeS);
+        return;
+    }
     std::string why = judge(q);
     if (!why.empty()) {
-        // Never accepted? Only a proven look may say so.
-        tell_fresh(now, request, id, false, [this, request, why, id](Ms) {
-            spdlog::info("refused {}: {}", id, why);
-            refuse(request, 422, why);
-        });
+        refuse_for_good(now, request, id, why);
         return;
     }
     JobSpec spec = std::move(q.spec);
@@ -222,9 +238,14 @@
     if (!q.image_name.empty()) {
         spec.image = core_.names.images.intern(q.image_name);
     }
+    std::size_t value_bytes = core_.state.limits().value_bytes();
     // Sized so that a record with every task on another machine stays within a value.
-    spec.chunk =
-        static_cast<std::uint32_t>(std::clamp(core_.platform.value_kb * 1024.0 / 48.0, 4.0, 64.0));
+    spec.chunk = static_cast<std::uint32_t>(
+        std::clamp(value_bytes / kTaskRecordBytes, kLeastChunk, kMostChunk));
+    if (encode_job({spec, false}, core_.names).dump().size() > value_bytes) {
+        refuse_for_good(now, request, id, "its description is too large to be stored");
+        return;
+    }
     create(now, request, std::move(spec), 0);
 }
 
@@ -289,7 +310,11 @@
     record.cancelled = true;
     Txn txn;
     txn.conditions = {{keys::job(id), job->stamp}};
-    txn.writes = {{keys::job(id), encode_job(record, core_.names), 0}};
+    Json value = encode_job(record, core_.names);
+    if (value.dump().size() > core_.state.limits().value_bytes()) {
+        value = encode_cancelled_job(record.spec, core_.names);
+    }
+    txn.writes = {{keys::job(id), std::move(value), 0}};
     core_.state.txn(Urgency::cancel, std::move(txn),
                     [this, request, id, tries](Ms at, const StateReply& r) {
                         if (!is_open(request)) {
--- a/src/coordination/view_keeper.cpp
+++ b/src/coordination/view_keeper.cpp
@@ -6,9 +6,10 @@
 
 namespace {
 // Ended jobs are not read at the start: they are looked up when asked for.
-const std::array<std::string, 5>& reading_prefixes() {
-    static const std::array<std::string, 5> prefixes{keys::kLeader, keys::kRegistry, keys::kKinds,
-                                                     keys::kJobs, keys::kTasks};
+const std::array<std::string, 7>& reading_prefixes() {
+    static const std::array<std::string, 7> prefixes{
+        keys::kLeader,        keys::kRegistry, keys::kRegistryParts, keys::kKinds,
+        keys::kAnnouncements, keys::kJobs,     keys::kTasks};
     return prefixes;
 }
 constexpr Ms kWatchFor = 20000;
--- a/src/coordination/worker_manager.cpp
+++ b/src/coordination/worker_manager.cpp
@@ -11,6 +11,9 @@
 namespace {
 constexpr Ms kLeaseMargin = 1200;
 constexpr Ms kHeldEvery = 20;
+constexpr Ms kReplicaRanWell = 10000;
+constexpr Ms kFirstReplicaWait = 1000;   // doubled up to five times
+constexpr Ms kServiceProof = 30000;      // a replica that ran well so lately speaks for its job
 constexpr std::uint32_t kDeafAfter = 2;  // answers not taken in, in a row: it gets nothing more
 }  // namespace
 
@@ -137,7 +140,7 @@
     return news ? to_ms(policy.settle_s) : 0;
 }
 
-bool WorkerManager::ready(Id id, const Held& held, std::uint64_t rounds) const {
+bool WorkerManager::ready(Id id, const HeldReport& held, std::uint64_t rounds) const {
     const Machine& m = term_.cluster.machines[id];
     bool placed = false;
     for (TaskRef ref : m.tasks) {
@@ -292,6 +295,9 @@
             task.running_since = now;
         }
         task.state = t.state;
+        if (task.running_since >= 0 && now - task.running_since >= kReplicaRanWell) {
+            cluster.jobs[job].ran_well_until = now;
+        }
     }
 
     if (!under_us) {
@@ -310,7 +316,7 @@
         if (task.machine != id) {
             continue;
         }
-        bool group = cluster.jobs[ref.job].spec.gang && cluster.jobs[ref.job].spec.tasks > 1;
+        bool group = cluster.jobs[ref.job].spec.starts_together();
         switch (task.phase) {
             case Phase::seen:
                 lifecycle_.lost(ref, now, "not on its machine any more");
@@ -363,7 +369,8 @@
     Machine& m = cluster.machines[machine];
     j.failed_on.insert(machine);
     ++j.failures;
-    if (j.refuted.size() >= 2 && j.done == 0) {
+    bool good = proven_good(now, j);
+    if (j.refuted.size() >= 2 && !good) {
         for (Id other : j.failed_on) {
             cluster.machines[other].error_jobs.erase(ref.job);
         }
@@ -373,8 +380,10 @@
         m.error_jobs.insert(ref.job);
         m.last_error = now;
         m.avoid_until = std::max(m.avoid_until, now + 3000);
-        j.not_before =
-            std::max(j.not_before, now + 500 * static_cast<Ms>(std::min(j.failures, 4U)));
+        // (The other replicas of a service show that it is the machine: elsewhere at once.)
+        bool at_once = good && j.spec.service();
+        Ms wait = at_once ? 0 : 500 * static_cast<Ms>(std::min(j.failures, 4U));
+        j.not_before = std::max(j.not_before, now + wait);
     }
     if (m.errors() >= 2 && !m.sick) {
         m.sick = true;
@@ -388,6 +397,51 @@
     }
 }
 
+bool WorkerManager::proven_good(Ms now, const Job& job) {
+    return job.done > 0 || (job.spec.service() && job.ran_well_until + kServiceProof >= now);
+}
+
+// A service has no end of its own: a replica that ends runs again. One that ends again and again
+// soon after it began waits longer each time.
+void WorkerManager::replica_ended(Ms now, TaskRef ref, const ReportedTask& r) {
+    ClusterState& cluster = term_.cluster;
+    Job& j = cluster.jobs[ref.job];
+    const Task& t = cluster.task(ref);
+    bool ran_well = t.running_since >= 0 && now - t.running_since >= kReplicaRanWell;
+    j.failures = ran_well ? 0 : j.failures + 1;
+    if (!j.cancelled && j.failures > 1) {
+        Ms wait = kFirstReplicaWait << std::min(j.failures - 2, 5U);
+        j.not_before = std::max(j.not_before, now + wait);
+    }
+    spdlog::info("{}/{} ended by itself on {}", j.spec.id, ref.task,
+                 cluster.machines[t.machine].name);
+    lifecycle_.lost(ref, now, r.cause.c_str());
+}
+
+void WorkerManager::done(TaskRef ref, const ReportedTask& r) {
+    ClusterState& cluster = term_.cluster;
+    Job& j = cluster.jobs[ref.job];
+    Id machine = cluster.task(ref).machine;
+    Machine& m = cluster.machines[machine];
+    for (Id failed : m.error_jobs) {
+        if (failed != ref.job) {
+            cluster.jobs[failed].refuted.insert(machine);
+        }
+    }
+    m.error_jobs.clear();
+    m.error_done = 0;
+    if (!j.spec.gang()) {
+        cluster.mark_done(ref);
+        return;
+    }
+    // A gang completes together: one task that is done shows that all are.
+    for (std::uint32_t i = 0; i < j.spec.tasks; ++i) {
+        if (cluster.task({ref.job, i}).attempt == r.attempt) {
+            cluster.mark_done({ref.job, i});
+        }
+    }
+}
+
 void WorkerManager::task_exited(Ms now, TaskRef ref, const ReportedTask& r) {
     ClusterState& cluster = term_.cluster;
     Job& j = cluster.jobs[ref.job];
@@ -396,22 +450,10 @@
     Machine& m = cluster.machines[machine];
     term_.place_now = true;
     if (r.cause == "done") {
-        for (Id failed : m.error_jobs) {
-            if (failed != ref.job) {
-                cluster.jobs[failed].refuted.insert(machine);
-            }
-        }
-        m.error_jobs.clear();
-        m.error_done = 0;
-        if (j.spec.gang) {
-            // A gang completes together: one task that is done shows that all are.
-            for (std::uint32_t i = 0; i < j.spec.tasks; ++i) {
-                if (cluster.task({ref.job, i}).attempt == r.attempt) {
-                    cluster.mark_done({ref.job, i});
-                }
-            }
+        if (j.spec.service()) {
+            replica_ended(now, ref, r);
         } else {
-            cluster.mark_done(ref);
+            done(ref, r);
         }
         return;
     }
--- a/src/coordination/worker_manager.hpp
+++ b/src/coordination/worker_manager.hpp
@@ -24,7 +24,7 @@
   private:
     // A report whose answer waits a little for what it should carry: `run` travels in answers only,
     // and the next one comes a report interval later.
-    struct Held {
+    struct HeldReport {
         RequestId request = 0;
         WorkerReport report;
         Ms until = 0;
@@ -33,7 +33,7 @@
     };
     // How long its answer may wait; 0: not at all.
     Ms hold_for(const Machine& m, const WorkerReport& r, bool& idle) const;
-    bool ready(Id machine, const Held& held, std::uint64_t rounds) const;
+    bool ready(Id machine, const HeldReport& held, std::uint64_t rounds) const;
     void answer(Ms now, Id machine, RequestId request, const WorkerReport& r);
     // Did the report tell of an end that is not yet durable?
     bool unsettled(Id machine, const WorkerReport& r) const;
@@ -44,6 +44,10 @@
     static void unheard(Ms now, Machine& m);
     static void heard(Machine& m);
     void task_exited(Ms now, TaskRef ref, const ReportedTask& r);
+    void done(TaskRef ref, const ReportedTask& r);
+    void replica_ended(Ms now, TaskRef ref, const ReportedTask& r);
+    // Work of the job has shown that the job itself is without a mistake.
+    static bool proven_good(Ms now, const Job& job);
     void blame(Ms now, TaskRef ref, Id machine);
     std::vector<Order> orders(Ms now, Id machine, const WorkerReport& report);
     void send_direct(Ms now, Id machine, std::vector<Order> orders);
@@ -51,7 +55,7 @@
     Term& term_;
     TaskLifecycle& lifecycle_;
     Ms check_at_ = 0;
-    std::map<Id, Held> held_;  // by machine
+    std::map<Id, HeldReport> held_;  // by machine
     std::uint64_t rounds_ = 0;
     Ms held_at_ = 0;
 };
--- a/src/protocol/settings_file.cpp
+++ b/src/protocol/settings_file.cpp
@@ -82,6 +82,24 @@
     std::string path_;
 };
 
+// Fields that are absent are taken from `otherwise`, or missed where there is nothing to take.
+StateLimits read_state_limits(const Reader& state, const StateLimits* otherwise) {
+    auto limit = [&](const char* name, double StateLimits::*field, double least, double most) {
+        return otherwise ? state.number_or(name, otherwise->*field, least, most)
+                         : state.number(name, least, most);
+    };
+    StateLimits limits;
+    limits.requests_per_s = limit("rps", &StateLimits::requests_per_s, 1, 1e9);
+    limits.writes_per_s = limit("write_rps", &StateLimits::writes_per_s, 0.5, 1e9);
+    limits.value_kb = limit("value_kb", &StateLimits::value_kb, 0.5, 1e6);
+    constexpr double kLeastOps = 3;  // the largest of the writes that can't be split
+    constexpr double kMostOps = 1e6;
+    double ops = otherwise ? state.number_or("txn_ops", otherwise->txn_ops, kLeastOps, kMostOps)
+                           : state.number("txn_ops", kLeastOps, kMostOps);
+    limits.txn_ops = static_cast<std::uint32_t>(ops);
+    return limits;
+}
+
 }  // namespace
 
 Platform read_platform(const std::string& json_text, std::vector<std::string>& notes) {
@@ -149,10 +167,10 @@
         throw SettingsError("params.workers.lease_s: must be longer than report_s");
     }
     Reader state = params.child("state");
-    p.state_rps = state.number("rps", 1, 1e9);
-    p.state_write_rps = state.number("write_rps", 0.5, 1e9);
-    p.value_kb = state.number("value_kb", 0.5, 1e6);
-    p.txn_ops = static_cast<std::uint32_t>(state.number("txn_ops", 3, 1e6));
+    p.state_limits = read_state_limits(state, nullptr);
+    if (state.has("next")) {
+        p.next_state_limits = read_state_limits(state.child("next"), &p.state_limits);
+    }
     Reader cloud = params.child("cloud");
     p.cloud_rps = cloud.number("rps", 0.1, 1e9);
     p.list_lag_s = cloud.number("list_lag_s", 0, 86400);
--- a/src/protocol/wire.cpp
+++ b/src/protocol/wire.cpp
@@ -74,6 +74,19 @@
     return v.get<bool>();
 }
 
+JobShape job_shape(const std::string& shape) {
+    if (shape == "batch") {
+        return JobShape::batch;
+    }
+    if (shape == "ensemble") {
+        return JobShape::gang;
+    }
+    if (shape == "service") {
+        return JobShape::service;
+    }
+    throw BadField{"bad shape"};
+}
+
 SubmitRequest parse_job(RequestId request, const Json& b) {
     if (!b.is_object()) {
         throw BadField{"not a map"};
@@ -88,11 +101,7 @@
     q.lane_name = text(b, "lane");
     q.team_name = text(b, "owner");
     std::string shape = text(b, "shape");
-    // `service`: independent tasks that run until cancelled (docs/questions.md); to us, a batch.
-    if (shape != "batch" && shape != "ensemble" && shape != "service") {
-        throw BadField{"bad shape"};
-    }
-    s.gang = shape == "ensemble";
+    s.shape = job_shape(shape);
     std::string rank = text(b, "rank");
     if (rank == "prod") {
         s.priority = Priority::production;
@@ -134,6 +143,9 @@
     q.image_name = text(b, "bundle");
     s.image_gb = decimal(b, "imageGb");
     s.estimate_s = decimal(b, "guessS");
+    if (s.service()) {
+        s.estimate_s = 0;  // it has no end that could be estimated
+    }
     s.checkpoint_s = decimal(b, "bookmarkS");
     s.save_s = decimal(b, "stashS");
     s.deadline_s = absent(b, "dueS") ? -1 : decimal(b, "dueS");
