--- a/src/coordination/placer.cpp
+++ b/src/coordination/placer.cpp
@@ -18,6 +18,7 @@
 // A round ends after so many looks at a machine, if its time isn't spent before.
 constexpr std::size_t kMostLooked = 400000;
 constexpr int kMostPreemptions = 8;  // jobs that look for work to stop, in one go
+constexpr Ms kMoveReplicasAfter = 60000;
 constexpr Ms kShapeKept = 600000;    // a class not seen for so long is not kept room for
 // Placements not yet written are bounded: more would only wait for the state service.
 constexpr std::uint32_t kMostPerJob = 256;
@@ -170,6 +171,9 @@
     if (v.spec.starts_together()) {
         return false;
     }
+    if (may_move(v, j)) {
+        return true;
+    }
     if (rank_of(v) >= static_cast<int>(j.spec.priority)) {
         return false;
     }
@@ -181,6 +185,13 @@
     return elsewhere(v.spec, j.spec) || aim_of(v.spec) > aim_of(j.spec);
 }
 
+// A replica never frees its place by itself: for work that has waited long it is stopped, to run
+// again elsewhere. (Three replicas on one of a zone's four small machines kept a gang of four from
+// ever beginning.)
+bool Placer::may_move(const Job& v, const Job& j) const {
+    return v.spec.service() && !j.spec.service() && now_ >= j.waiting_since + kMoveReplicasAfter;
+}
+
 void Placer::count_slots(Ms now) {
     const ClusterState& cluster = term_.cluster;
     lane_slots_.assign(cluster.shapes.size(), 0);
@@ -659,7 +670,7 @@
 
 // May the victim's work make room for the job, by priority or by guarantee?
 bool Placer::stoppable(const Job& v, const Job& j, bool guaranteed) const {
-    if (rank_of(v) < static_cast<int>(j.spec.priority)) {
+    if (rank_of(v) < static_cast<int>(j.spec.priority) || may_move(v, j)) {
         return true;
     }
     return guaranteed && v.spec.team != j.spec.team && term_.cluster.team(v.spec.team) &&
--- a/src/coordination/placer.hpp
+++ b/src/coordination/placer.hpp
@@ -82,6 +82,8 @@
     bool over_in_time(const JobSpec& s, const Machine& m, double fetch_s) const;
     // May this work be stopped to make room for that job's gang?
     bool may_stop(const Job& victim, const Job& job) const;
+    // May a replica be moved away for work that has waited long?
+    bool may_move(const Job& victim, const Job& job) const;
     double aim_of(const JobSpec& s) const;  // its class's tightest aim on starting, in seconds
 
     Term& term_;
--- a/tests/standin/controllers.cpp
+++ b/tests/standin/controllers.cpp
@@ -11,6 +11,7 @@
     ++h.life;
     Platform p = platform_;
     p.node_name = "n" + std::to_string(i);
+    p.feature_level = feature_level(i);
     if (o_.told_limit_cpus > 0) {
         p.teams.front().limit.cpus = o_.told_limit_cpus;
     }
--- a/tests/standin/entities.hpp
+++ b/tests/standin/entities.hpp
@@ -81,7 +81,8 @@
     Ms offset = 0;
     Ms wake = -1;
     bool led = false;
-    Ms frozen_until = -1;  // it stands still while its clock runs on; what arrives waits
+    bool upgraded = false;  // its next process is of the new version
+    Ms frozen_until = -1;   // it stands still while its clock runs on; what arrives waits
     // What has arrived and waits for the next turn of the controller's event loop.
     std::vector<Input> received;
     std::map<RequestId, std::function<void(UserAnswer)>> users;
--- a/tests/standin/machines.cpp
+++ b/tests/standin/machines.cpp
@@ -312,6 +312,11 @@
     Job& j = *jobs_.at(r.job);
     Ms left = std::max<Ms>(300, j.run_ms - (j.spec.gang() ? 0 : j.progress[r.task]));
     changed(w);
+    if (j.spec.service()) {
+        replicas_again += r.attempt > 1;
+        end_replica_sometimes(w, r);
+        return;
+    }
     auto key = std::tuple{r.job, r.task, r.attempt};
     if (now_ + left < active_.cancellation_at_end && chance(0.3)) {
         ++cancelled_at_end;
@@ -355,6 +360,27 @@
     });
 }
 
+// A replica has no end of its own, but some end all the same, with or without an error.
+void World::end_replica_sometimes(Worker& w, const Running& r) {
+    if (!o_.faults || now_ >= o_.duration * 8 / 10 || !chance(0.2)) {
+        return;
+    }
+    auto key = std::tuple{r.job, r.task, r.attempt};
+    const char* cause = chance(0.5) ? "done" : "error";
+    Ms when = now_ + pick(500, 30000);
+    well_since_ = std::max(well_since_, when);
+    at(when, [this, name = w.name, key, cause, version = r.version] {
+        auto worker = workers_.find(name);
+        if (worker == workers_.end()) {
+            return;
+        }
+        auto task = worker->second->tasks.find(key);
+        if (task != worker->second->tasks.end() && task->second.version == version) {
+            end(*worker->second, task->second, cause, false);
+        }
+    });
+}
+
 void World::end(Worker& w, Running& r, const std::string& cause, bool kept) {
     bool was_running = r.state == TaskState::running || r.state == TaskState::saving;
     r.state = TaskState::exited;
--- a/tests/standin/rules.cpp
+++ b/tests/standin/rules.cpp
@@ -218,6 +218,14 @@
             continue;
         }
         const JobSpec& s = j->spec;
+        if (s.service()) {
+            std::size_t up = replicas_up(id);
+            if (up < s.tasks) {
+                broken("not_served", id + ": " + std::to_string(up) + " of " +
+                                         std::to_string(s.tasks) + " replicas run");
+            }
+            continue;
+        }
         broken("not_served",
                id + " (" + std::to_string(s.tasks) + (s.gang() ? " together" : " tasks") + " of " +
                    std::to_string(static_cast<int>(s.each.cpus)) + " cores, " +
--- a/tests/standin/state_service.cpp
+++ b/tests/standin/state_service.cpp
@@ -65,7 +65,43 @@
     }
 }
 
-void StateService::transact(const Txn& txn, StateReply& reply) {
+bool StateService::within_size(const Txn& txn) const {
+    constexpr std::size_t kConditionsPerOp = 4;
+    constexpr std::size_t kMostBytes = 65536;
+    std::size_t all = 0;
+    for (const Write& write : txn.writes) {
+        std::size_t bytes = write.value ? write.value->dump().size() : 0;
+        if (static_cast<double>(bytes) > limits_.value_kb * 1024.0) {
+            return false;
+        }
+        all += bytes + write.key.size();
+    }
+    return all <= kMostBytes && txn.writes.size() <= limits_.txn_ops &&
+           txn.conditions.size() <= kConditionsPerOp * limits_.txn_ops;
+}
+
+bool StateService::within_rate(Ms now, std::size_t changes) {
+    double earned = limits_.writes_per_s * static_cast<double>(now - allowance_at_) / 1000.0;
+    allowance_ = std::min(limits_.writes_per_s, allowance_ + earned);
+    allowance_at_ = now;
+    if (allowance_ < static_cast<double>(changes)) {
+        return false;
+    }
+    allowance_ -= static_cast<double>(changes);
+    return true;
+}
+
+void StateService::transact(Ms now, const Txn& txn, StateReply& reply) {
+    if (!within_size(txn)) {
+        ++refused_for_size;
+        reply.status = 400;
+        return;
+    }
+    if (!within_rate(now, txn.writes.size())) {
+        ++refused_for_rate;
+        reply.status = 429;
+        return;
+    }
     for (const Condition& condition : txn.conditions) {
         auto row = rows_.find(condition.key);
         std::uint64_t stamp = row == rows_.end() ? 0 : row->second.stamp;
@@ -134,7 +170,7 @@
             drop_lease(call.lease);
             break;
         case StateVerb::txn:
-            transact(call.txn, reply);
+            transact(now, call.txn, reply);
             break;
     }
     return reply;
--- a/tests/standin/state_service.hpp
+++ b/tests/standin/state_service.hpp
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "coordination/io.hpp"
+#include "coordination/state_limits.hpp"
 
 namespace walkford::standin {
 
@@ -23,6 +24,11 @@
     bool serves(const std::string& node, Ms now) const;
     bool in_outage(Ms now) const { return now < out_until_; }
 
+    // Sizes as the compact JSON form has them, and changes a second.
+    void set_limits(const StateLimits& limits) { limits_ = limits; }
+    int refused_for_size = 0;
+    int refused_for_rate = 0;
+
   private:
     struct Row {
         Json value;
@@ -40,7 +46,9 @@
     void drop_lease(std::uint64_t lease);
     void get(const std::string& key, StateReply& reply) const;
     void list(const StateCall& call, StateReply& reply) const;
-    void transact(const Txn& txn, StateReply& reply);
+    void transact(Ms now, const Txn& txn, StateReply& reply);
+    bool within_size(const Txn& txn) const;
+    bool within_rate(Ms now, std::size_t changes);
 
     std::map<std::string, Row> rows_;
     std::map<std::uint64_t, Lease> leases_;
@@ -48,6 +56,9 @@
     std::uint64_t revision_ = 0;
     std::uint64_t next_lease_ = 1;
     Ms out_until_ = -1;
+    StateLimits limits_{1e9, 1e9, 1e6, 1000000};
+    double allowance_ = 0;
+    Ms allowance_at_ = 0;
     std::map<std::string, Ms> refused_until_;
 };
 
--- a/tests/standin/users.cpp
+++ b/tests/standin/users.cpp
@@ -58,6 +58,7 @@
     ask(q, 5000, [this, id, asked = now_](const UserAnswer& a) {
         Job& job = *jobs_.at(id);
         bool had = job.accepted_told >= 0;
+        services_refused += a.code == 503 && job.spec.service();
         told(job, a, false, asked);
         if (!had && job.accepted_told >= 0) {
             look_closely(id);
--- a/tests/standin/world.cpp
+++ b/tests/standin/world.cpp
@@ -32,6 +32,7 @@
     kinds_ = {{0, {8, 0, 32}, 50, 1, 0.4, 0.1, 4, {0, 1}},
               {1, {32, 4, 128}, 50, 1, 4, 1, 5, {0, 1}}};
     state_ = std::make_unique<StateService>();
+    state_->set_limits(platform_.state_limits);
     cloud_ = std::make_unique<Cloud>();
     for (std::size_t i = 0; i < o_.nodes; ++i) {
         hosts_.push_back(std::make_unique<Host>());
@@ -74,7 +75,14 @@
     for (std::size_t i = 0; i < o_.nodes; ++i) {
         at(pick(0, 500), [this, i] { start_node(i); });
     }
+    if (o_.limits_fall_at >= 0) {
+        plan_lower_limits();
+    }
     plan_users();
+    plan_services();
+    if (o_.rollout_at >= 0) {
+        plan_rollout();
+    }
     if (o_.faults) {
         plan_faults();
     }
--- a/tests/standin/world.hpp
+++ b/tests/standin/world.hpp
@@ -42,6 +42,12 @@
     // served and every question about one answered (rules not_served and forgotten).
     Ms calm = 0;
     double deaf_return_s = 12;
+    // Services that users submit, after the rollout if there is one.
+    int services = 0;
+    // All controllers begin with the old version, and from then on change over; -1: none does.
+    Ms rollout_at = -1;
+    // From then on the state service's limits are lower; the settings told so from the start.
+    Ms limits_fall_at = -1;
     // Mutations: each takes one guard away, and the checks must then find a broken rule.
     bool strip_fence = false;    // transactions lose their conditions
     double told_lease_s = 0;     // the service believes this lease instead of the real one
@@ -55,6 +61,8 @@
     ~World();
     void run();
 
+    const StateService& state() const { return *state_; }
+
     std::vector<std::string> violations;
     int started = 0;
     int jobs_done = 0;
@@ -80,6 +88,9 @@
     int zone_bound_losses = 0;      // machines lost that ran a task bound to their zone
     int starts_after_cancel = 0;    // starts after a confirmed cancellation, within cancel_s
     int refused_jobs = 0;           // jobs that can't run, and are told so
+    int upgraded = 0;               // controllers that changed over
+    int replicas_again = 0;         // replicas of services that ran once more
+    int services_refused = 0;       // 503 while a controller is old
     std::size_t largest_turn = 0;   // inputs that a controller took in together
 
   private:
@@ -158,6 +169,12 @@
 
     // users
     void plan_users();
+    void plan_services();
+    void plan_rollout();
+    void plan_lower_limits();
+    std::uint32_t feature_level(std::size_t i) const;
+    std::size_t replicas_up(const std::string& id) const;
+    void end_replica_sometimes(Worker& w, const Running& r);
     void submit(const std::string& id);
     void poll(const std::string& id);
     void cancel(const std::string& id);
