A follower answers for the leader in a zone cut off from it

The state service is reached by both sides: a follower that has not heard the leader for 5 s says durably that it answers its zone's workers with the leader's token, and stops what is cancelled; the leader counts no lease as over that may have been renewed so.

--- a/src/bookkeeping/records.cpp
+++ b/src/bookkeeping/records.cpp
@@ -304,6 +304,15 @@
     }
 }
 
+Json encode_relay(const RelayRecord& relay) { return Json{{"t", relay.token}, {"z", relay.zone}}; }
+std::optional<RelayRecord> decode_relay(const Json& v) {
+    try {
+        return RelayRecord{v.at("t").get<std::uint64_t>(), v.at("z").get<std::string>()};
+    } catch (const Json::exception&) {
+        return std::nullopt;
+    }
+}
+
 Json encode_leader(const LeaderRecord& l) {
     return Json{{"node", l.node}, {"incarnation", l.incarnation}};
 }
--- a/src/bookkeeping/records.hpp
+++ b/src/bookkeeping/records.hpp
@@ -21,6 +21,8 @@
 inline const std::string kTasks = "w/t/";
 inline const std::string kRegistryParts = "w/m/";
 inline const std::string kAnnouncements = "w/v/";
+inline const std::string kRelays = "w/r/";
+inline std::string relay(const std::string& node) { return kRelays + node; }
 inline std::string announcement(const std::string& node) { return kAnnouncements + node; }
 // Part 0 is the registry's first value, which is all there is while that one holds it.
 std::string registry_part(std::uint32_t index);
@@ -70,6 +72,14 @@
 Json encode_announcement(std::uint32_t level);
 std::optional<std::uint32_t> decode_announcement(const Json& value);
 
+// A controller answers the workers of a zone for the leader with that token.
+struct RelayRecord {
+    std::uint64_t token = 0;
+    std::string zone;
+};
+Json encode_relay(const RelayRecord& relay);
+std::optional<RelayRecord> decode_relay(const Json& value);
+
 struct LeaderRecord {
     std::string node;
     std::string incarnation;
--- a/src/bookkeeping/view.cpp
+++ b/src/bookkeeping/view.cpp
@@ -1,5 +1,7 @@
 #include "bookkeeping/view.hpp"
 
+#include <algorithm>
+
 namespace walkford {
 
 namespace {
@@ -58,6 +60,9 @@
     if (starts(key, keys::kEnded)) {
         return apply_ended(row);
     }
+    if (starts(key, keys::kRelays)) {
+        return apply_relay(row);
+    }
     if (starts(key, keys::kAnnouncements)) {
         return apply_announcement(row);
     }
@@ -120,6 +125,44 @@
     return true;
 }
 
+bool View::apply_relay(const StateRow& row) {
+    std::string node = row.key.substr(keys::kRelays.size());
+    auto known = relays.find(node);
+    if (known != relays.end()) {
+        if (row.stamp <= known->second.stamp) {
+            return false;
+        }
+        count_relay_change(known->second);
+        relays.erase(known);
+    }
+    if (row.value) {
+        Relay relay{decode_relay(*row.value), row.stamp};
+        count_relay_change(relay);
+        relays[node] = std::move(relay);
+    }
+    return true;
+}
+
+void View::count_relay_change(const Relay& relay) {
+    if (relay.record) {
+        ++relay_changes_[relay.record->zone];
+    } else {
+        ++relay_changes_anywhere_;
+    }
+}
+
+bool View::relayed(const std::string& zone) const {
+    return std::any_of(relays.begin(), relays.end(), [&](const auto& entry) {
+        const auto& record = entry.second.record;
+        return !record || record->zone == zone;
+    });
+}
+
+std::uint64_t View::relay_changes(const std::string& zone) const {
+    auto it = relay_changes_.find(zone);
+    return relay_changes_anywhere_ + (it == relay_changes_.end() ? 0 : it->second);
+}
+
 bool View::apply_announcement(const StateRow& row) {
     Announcement& known = announced_levels[row.key.substr(keys::kAnnouncements.size())];
     auto level = row.value ? decode_announcement(*row.value) : std::nullopt;
@@ -150,6 +193,7 @@
 void View::begin_reading() {
     reading_ = true;
     seen_.clear();
+    ++relay_changes_anywhere_;  // a reading leaves no trace of records that have come and gone
 }
 
 void View::end_reading(std::uint64_t revision) {
@@ -174,6 +218,12 @@
             gone.push_back(key);
         }
     }
+    for (const auto& [node, relay] : relays) {
+        std::string key = keys::relay(node);
+        if (relay.stamp <= revision && !seen_.count(key)) {
+            gone.push_back(key);
+        }
+    }
     if (leader_stamp && leader_stamp <= revision && !seen_.count(keys::kLeader)) {
         gone.push_back(keys::kLeader);
     }
@@ -191,6 +241,9 @@
         leader_stamp = 0;
     } else if (starts(key, keys::kJobs)) {
         jobs_.erase(key.substr(keys::kJobs.size()));
+    } else if (starts(key, keys::kRelays)) {
+        relays.erase(key.substr(keys::kRelays.size()));
+        ++relay_changes_anywhere_;
     } else if (auto part = keys::parse_registry_part(key)) {
         registry_parts.erase(*part);
     } else if (auto parsed = keys::parse_chunk(key)) {
--- a/src/bookkeeping/view.hpp
+++ b/src/bookkeeping/view.hpp
@@ -71,6 +71,15 @@
         std::uint64_t stamp = 0;
     };
     std::map<std::string, Announcement> announced_levels;  // by controller
+    struct Relay {
+        std::optional<RelayRecord> record;  // nothing: can't be read, so it may be for any zone
+        std::uint64_t stamp = 0;
+    };
+    std::map<std::string, Relay> relays;  // by controller
+    // Does a controller answer the workers of the zone in the leader's place?
+    bool relayed(const std::string& zone) const;
+    // Rises with each beginning and end of such a record; also of one that has come and gone.
+    std::uint64_t relay_changes(const std::string& zone) const;
     std::optional<Json> kinds;
     std::uint64_t kinds_stamp = 0;
 
@@ -78,6 +87,8 @@
     bool apply_job(const StateRow& row);
     bool apply_ended(const StateRow& row);
     bool apply_registry_part(const StateRow& row, std::uint32_t part);
+    bool apply_relay(const StateRow& row);
+    void count_relay_change(const Relay& relay);
     bool apply_announcement(const StateRow& row);
     bool apply_chunk(const StateRow& row, const std::string& id, std::uint32_t index);
     void drop_unread(const std::string& key);
@@ -93,6 +104,8 @@
     std::list<std::string> ended_order_;
     std::unordered_map<std::string, std::uint64_t> dropped_;  // key -> stamp of its drop
     std::list<std::string> dropped_order_;
+    std::map<std::string, std::uint64_t> relay_changes_;  // by zone
+    std::uint64_t relay_changes_anywhere_ = 0;
     bool reading_ = false;
     std::set<std::string> seen_;
 };
--- a/src/coordination/core.hpp
+++ b/src/coordination/core.hpp
@@ -112,6 +112,15 @@
     // All controllers once ran a later version than this one.
     bool newer_than_supported() const { return cluster_level > platform.feature_level; }
 
+    // How long after a proof of the view a report may be answered: by cancel_s after it, all leases
+    // that such an answer renews are over. (A lease, drift, and what report and answer take on
+    // their way.)
+    Ms cancel_span() const {
+        constexpr Ms kOnTheWay = 2500;
+        Ms span = to_ms(platform.cancel_s) - with_drift(to_ms(platform.lease_s)) - kOnTheWay;
+        return std::max<Ms>(0, span);
+    }
+
     Ms jitter(Ms most) { return std::uniform_int_distribution<Ms>(0, most)(rng); }
 };
 
--- a/src/coordination/leader.cpp
+++ b/src/coordination/leader.cpp
@@ -176,8 +176,9 @@
 
 Leader::~Leader() { term_.core.cloud.clear(); }
 
-void Leader::set_rights(bool act, Ms answer_until) {
+void Leader::set_rights(bool act, Ms answer_until, Ms proven_until) {
     term_.act = act;
+    term_.proven_until = proven_until;
     term_.answer_until = answer_until;
 }
 
--- a/src/coordination/leader.hpp
+++ b/src/coordination/leader.hpp
@@ -16,8 +16,9 @@
     ClusterState cluster;
     std::uint64_t token = 0;
     Ms elected_at = 0;
-    bool act = false;     // our lease is surely ours: start, rent and write
-    Ms answer_until = 0;  // until then heartbeats may be answered 200
+    bool act = false;      // our lease is surely ours: start, rent and write
+    Ms proven_until = -1;  // the view holds everything that had happened by then
+    Ms answer_until = 0;   // until then heartbeats may be answered 200
     bool place_now = true;
     bool rent_now = false;  // the cloud ran out of one kind: the next is asked for at once
     // What the last round of placing and the last trial packing looked at: their measure where no
@@ -32,6 +33,11 @@
     // Calls that outlive the term find this gone.
     std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 
+    // Another controller may renew the machine's lease.
+    bool relayed(const Machine& machine) const {
+        return machine.zone != kNone && core.view.relayed(core.names.zones.name(machine.zone));
+    }
+
     Term(Core& c, std::uint64_t t, Ms now)
         : core(c), cluster(c.names, c.platform.teams), token(t), elected_at(now) {}
 };
@@ -66,7 +72,7 @@
     Leader(const Leader&) = delete;
     Leader& operator=(const Leader&) = delete;
 
-    void set_rights(bool act, Ms answer_until);
+    void set_rights(bool act, Ms answer_until, Ms proven_until);
     void tick(Ms now);
     void job_changed(Ms now, const std::string& id);
     void heartbeat(Ms now, const HeartbeatRequest& heartbeat);
--- a/src/coordination/node.cpp
+++ b/src/coordination/node.cpp
@@ -20,9 +20,7 @@
 constexpr Ms kLeaderWatchSpacing = 40;
 constexpr Ms kFollowerWatchSpacing = 500;
 constexpr Ms kProveEvery = 1000;
-// From the last moment we answer a heartbeat until a cut-off machine's tasks are surely gone: its
-// lease, drift, and what a report and an answer take on their way.
-constexpr Ms kCancelMargin = 2500;
+constexpr Ms kLeaderSilent = 5000;  // longer than the leader's key outlives it
 constexpr Ms kNoHeartbeats = 8000;  // a leader whom no worker reaches for so long gives up ...
 constexpr Ms kOthersReachedFor = 3000;
 constexpr Ms kStandBack = 15000;  // ... and leaves the next elections to others for so long
@@ -35,6 +33,7 @@
     : core_(std::move(platform), std::move(policy), seed),
       keeper_(core_),
       leadership_(core_, keeper_),
+      relay_(core_, keeper_),
       feature_level_(core_),
       users_(core_, keeper_),
       peers_(core_.platform.peers.size()) {
@@ -228,9 +227,8 @@
     if (!leader_) {
         return;
     }
-    const Platform& p = core_.platform;
-    Ms span = to_ms(p.cancel_s) - with_drift(to_ms(p.lease_s)) - kCancelMargin;
-    leader_->set_rights(leadership_.valid(now), horizon() + std::max<Ms>(0, span));
+    leader_->set_rights(leadership_.valid(now), horizon() + core_.cancel_span(),
+                        keeper_.proven_at());
 }
 
 void Node::tick(Ms now) {
@@ -239,6 +237,7 @@
     if (keeper_.ready()) {
         feature_level_.tick(now);
     }
+    relay_.tick(now, leader_silent(now));
     users_.tick(now);
     if (leader_ && now >= barrier_at_) {
         // Proves every second that no cancellation was missed, whatever the watch does.
@@ -306,6 +305,20 @@
     });
 }
 
+// Somebody else leads by the state service, but has not been heard here for longer than a leader
+// that ended would keep its key.
+bool Node::leader_silent(Ms now) const {
+    if (!leadership_.following() || !core_.view.leader || now - started_ < kLeaderSilent) {
+        return false;
+    }
+    for (std::size_t i = 0; i < peers_.size(); ++i) {
+        if (core_.platform.peers[i].name == core_.view.leader->node) {
+            return !peers_[i].heard_within(now, kLeaderSilent);
+        }
+    }
+    return false;
+}
+
 // Neither the state service nor any other controller: what we know of the others is old.
 bool Node::alone(Ms now) const {
     if (peers_.empty()) {
@@ -327,6 +340,9 @@
         leader_->heartbeat(now, q);
         return;
     }
+    if (relay_.answer(now, q)) {
+        return;
+    }
     HeartbeatAnswer a;
     a.request = q.request;
     if (leadership_.leading()) {
@@ -335,7 +351,8 @@
         a.code = 421;
         const std::string& leader = leadership_.known_leader();
         // One that may have ceased to lead long ago is not named.
-        bool named = !leader.empty() && leader != core_.platform.node_name && !alone(now);
+        bool named = !leader.empty() && leader != core_.platform.node_name && !alone(now) &&
+                     !(core_.may_write(kFeatureServices) && leader_silent(now));
         if (named) {
             a.leader = leader;
         }
--- a/src/coordination/node.hpp
+++ b/src/coordination/node.hpp
@@ -5,6 +5,7 @@
 #include "coordination/feature_level.hpp"
 #include "coordination/leader.hpp"
 #include "coordination/leadership.hpp"
+#include "coordination/lease_relay.hpp"
 #include "coordination/peer_monitor.hpp"
 #include "coordination/user_requests.hpp"
 
@@ -38,6 +39,7 @@
     bool out_of_reach(Ms now);
     bool others_are_reached(Ms now) const;
     bool alone(Ms now) const;
+    bool leader_silent(Ms now) const;
     bool refused_alone(Ms now) const;
     Ms horizon();
     void set_rights(Ms now);
@@ -47,6 +49,7 @@
     Core core_;
     ViewKeeper keeper_;
     Leadership leadership_;
+    LeaseRelay relay_;
     FeatureLevel feature_level_;
     UserRequests users_;
     std::unique_ptr<Leader> leader_;
--- a/src/coordination/policy.hpp
+++ b/src/coordination/policy.hpp
@@ -58,6 +58,7 @@
 struct Platform {
     std::string node_name;
     std::string incarnation;  // random for every start: never only the node's name
+    std::string zone;         // where this controller is; empty: not known
     std::string serve_on;
     std::string cluster_listen;
     std::vector<Peer> peers;
--- a/src/coordination/scaler.cpp
+++ b/src/coordination/scaler.cpp
@@ -22,7 +22,8 @@
 bool Scaler::back_soon(const Machine& m, Ms now) const {
     return m.held && m.reported && !m.gone && !m.returning && !m.sick && m.notice_until < 0 &&
            m.cloud != CloudStatus::failed && m.unheard == 0 &&
-           now < m.last_heartbeat + to_ms(term_.core.platform.lease_s) + kBackWithin;
+           (term_.relayed(m) ||
+            now < m.last_heartbeat + to_ms(term_.core.platform.lease_s) + kBackWithin);
 }
 
 // Machines that fall silent by the dozen hang or stand behind a cut, and go on: a second fleet in
--- a/src/coordination/view_keeper.cpp
+++ b/src/coordination/view_keeper.cpp
@@ -6,10 +6,10 @@
 
 namespace {
 // Ended jobs are not read at the start: they are looked up when asked for.
-const std::array<std::string, 7>& reading_prefixes() {
-    static const std::array<std::string, 7> prefixes{
+const std::array<std::string, 8>& reading_prefixes() {
+    static const std::array<std::string, 8> prefixes{
         keys::kLeader,        keys::kRegistry, keys::kRegistryParts, keys::kKinds,
-        keys::kAnnouncements, keys::kJobs,     keys::kTasks};
+        keys::kAnnouncements, keys::kRelays,   keys::kJobs,          keys::kTasks};
     return prefixes;
 }
 constexpr Ms kWatchFor = 20000;
--- a/src/coordination/worker_manager.cpp
+++ b/src/coordination/worker_manager.cpp
@@ -572,6 +572,32 @@
     term_.core.out.emplace_back(std::move(c));
 }
 
+// A record that has come and gone counts as well: its controller may have answered up to its end.
+void WorkerManager::watch_relays(Ms now) {
+    const Core& core = term_.core;
+    relays_.resize(core.names.zones.size(), RelayWatch{0, term_.elected_at});
+    for (Id zone = 0; zone < relays_.size(); ++zone) {
+        std::uint64_t changes = core.view.relay_changes(core.names.zones.name(zone));
+        if (changes != relays_[zone].changes) {
+            relays_[zone] = {changes, now};
+        }
+    }
+}
+
+// A worker that nobody has answered for longer than its lease, and that obeys no older leader, has
+// killed all its tasks. (One whose report is open here is alive.) That nobody has, a reading of the
+// state shows that was begun once the lease was over: a controller that answers for us says so
+// before its first answer, and by then there was nothing left to renew.
+bool WorkerManager::lease_over(Ms now, Id id) const {
+    const Machine& m = term_.cluster.machines[id];
+    if (held_.count(id) || m.zone >= relays_.size() || term_.relayed(m)) {
+        return false;
+    }
+    Ms lease = with_drift(to_ms(term_.core.platform.lease_s)) + kLeaseMargin;
+    Ms over = std::max({m.last_ok, m.token_seen_at, relays_[m.zone].changed_at}) + lease;
+    return now > over && term_.proven_until >= over;
+}
+
 void WorkerManager::tick(Ms now) {
     if (now < check_at_) {
         return;
@@ -580,17 +606,14 @@
     ClusterState& cluster = term_.cluster;
     const Platform& p = term_.core.platform;
     const Policy& policy = term_.core.policy;
-    Ms lease = with_drift(to_ms(p.lease_s)) + kLeaseMargin;
     Ms report = to_ms(p.report_s);
+    watch_relays(now);
     for (Id id = 0; id < cluster.machines.size(); ++id) {
         Machine& m = cluster.machines[id];
         if (m.gone) {
             continue;
         }
-        // A worker we have not answered for longer than its lease, and that obeys no older leader,
-        // has killed all its tasks. (One whose report is open here is alive.)
-        if (m.token_seen && !m.lost && !held_.count(id) &&
-            now > std::max(m.last_ok, m.token_seen_at) + lease) {
+        if (m.token_seen && !m.lost && lease_over(now, id)) {
             m.lost = true;
             m.min_session = m.session + 1;
             m.notice_until = -1;
--- a/src/coordination/worker_manager.hpp
+++ b/src/coordination/worker_manager.hpp
@@ -50,6 +50,9 @@
     static bool proven_good(Ms now, const Job& job);
     void blame(Ms now, TaskRef ref, Id machine);
     std::vector<Order> orders(Ms now, Id machine, const WorkerReport& report);
+    void watch_relays(Ms now);
+    // Its worker has surely ended its session: nobody has renewed its lease for longer than that.
+    bool lease_over(Ms now, Id machine) const;
     void send_direct(Ms now, Id machine, std::vector<Order> orders);
 
     Term& term_;
@@ -58,6 +61,12 @@
     std::map<Id, HeldReport> held_;  // by machine
     std::uint64_t rounds_ = 0;
     Ms held_at_ = 0;
+    // By zone: when a controller was last seen to begin or end answering its workers for us.
+    struct RelayWatch {
+        std::uint64_t changes = 0;
+        Ms changed_at = -1;
+    };
+    std::vector<RelayWatch> relays_;
 };
 
 }  // namespace walkford
--- a/src/protocol/settings_file.cpp
+++ b/src/protocol/settings_file.cpp
@@ -110,6 +110,9 @@
     Reader top(doc, "");
     Platform p;
     p.node_name = top.text("node_name");
+    if (top.has("location")) {
+        p.zone = top.text("location");
+    }
     p.serve_on = top.address("serve_on");
     p.cluster_listen = top.address("cluster_listen");
     const Json& seeds = top.list("seeds");
--- a/tests/leader_test.cpp
+++ b/tests/leader_test.cpp
@@ -47,7 +47,7 @@
         leader = std::make_unique<Leader>(*core, token, now);
         leader->term().depose = [](Ms, const char*) {};
         leader->term().refresh = [](Ms) {};
-        leader->set_rights(true, now + 1000000);
+        leader->set_rights(true, now + 1000000, now + 1000000);
     }
     // A registry with these machines, all up.
     void lead(const std::vector<std::pair<std::string, int>>& machines) {
--- a/tests/standin/controllers.cpp
+++ b/tests/standin/controllers.cpp
@@ -12,6 +12,7 @@
     Platform p = platform_;
     p.node_name = "n" + std::to_string(i);
     p.feature_level = feature_level(i);
+    p.zone = zone_of_controller(i);
     if (o_.told_limit_cpus > 0) {
         p.teams.front().limit.cpus = o_.told_limit_cpus;
     }
@@ -114,6 +115,7 @@
 }
 
 void World::send(std::size_t i, const HeartbeatAnswer& answer) {
+    relayed += answer.code == 200 && !hosts_[i]->node->leading();
     answer_waiting(hosts_[i]->heartbeats, answer);
 }
 
@@ -133,6 +135,14 @@
 void World::send(std::size_t i, const StateCall& sent) {
     std::string me = "n" + std::to_string(i);
     auto back = reply_to(i);
+    if (o_.hide_relays) {
+        back = [back](const Input& input) {
+            auto reply = std::get<StateReply>(input);
+            std::erase_if(reply.rows,
+                          [](const StateRow& row) { return row.key.rfind(keys::kRelays, 0) == 0; });
+            back(reply);
+        };
+    }
     StateCall c = sent;
     if (o_.strip_fence) {
         c.txn.conditions.clear();
--- a/tests/standin/faults.cpp
+++ b/tests/standin/faults.cpp
@@ -45,7 +45,8 @@
                                                             "limit_and_hanging_machines",
                                                             "fast_machines_slow_writes",
                                                             "small_job_flood",
-                                                            "zone_loses_machines"};
+                                                            "zone_loses_machines",
+                                                            "zones_apart"};
 }  // namespace
 
 std::string_view name_of(Fault fault) { return kFaultNames.at(static_cast<std::size_t>(fault)); }
@@ -88,7 +89,8 @@
         &FaultInjector::limit_and_hanging_machines,
         &FaultInjector::fast_machines_slow_writes,
         &FaultInjector::small_job_flood,
-        &FaultInjector::zone_loses_machines};
+        &FaultInjector::zone_loses_machines,
+        &FaultInjector::zones_apart};
     return table;
 }
 
@@ -293,6 +295,27 @@
     w.cut(node, "cloud", span, hold);
 }
 
+void FaultInjector::zones_apart(std::size_t) {
+    World& w = world_;
+    Ms span = w.pick(5000, 60000);
+    bool hold = w.chance(0.5);
+    std::vector<std::pair<std::string, std::string>> hosts;  // name, zone
+    for (std::size_t k = 0; k < w.o_.nodes; ++k) {
+        hosts.emplace_back(controller_name(k), w.zone_of_controller(k));
+    }
+    std::size_t controllers = hosts.size();
+    for (const auto& [name, worker] : w.workers_) {
+        hosts.emplace_back(name, worker->zone);
+    }
+    for (std::size_t one = 0; one < controllers; ++one) {
+        for (std::size_t other = one + 1; other < hosts.size(); ++other) {
+            if (hosts[one].second != hosts[other].second) {
+                w.cut(hosts[one].first, hosts[other].first, span, hold);
+            }
+        }
+    }
+}
+
 void FaultInjector::controller_freezes(std::size_t controller) {
     Ms until = world_.now_ + world_.pick(500, 35000);
     world_.hosts_[controller]->frozen_until = until;
--- a/tests/standin/faults.hpp
+++ b/tests/standin/faults.hpp
@@ -50,8 +50,9 @@
     fast_machines_slow_writes,   // new machines get work at once, and the leader ends
     small_job_flood,             // one-task jobs four a second, a quarter cancelled
     zone_loses_machines,
+    zones_apart,  // neither machines nor controllers reach the other zone; all reach the state
 };
-inline constexpr std::size_t kFaults = static_cast<std::size_t>(Fault::zone_loses_machines) + 1;
+inline constexpr std::size_t kFaults = static_cast<std::size_t>(Fault::zones_apart) + 1;
 
 // The name as in the enumeration.
 std::string_view name_of(Fault fault);
@@ -118,6 +119,7 @@
     void fast_machines_slow_writes(std::size_t controller);
     void small_job_flood(std::size_t controller);
     void zone_loses_machines(std::size_t controller);
+    void zones_apart(std::size_t controller);
 
     void restart_soon(std::size_t controller);
     // The world counts as troubled until then.
--- a/tests/standin/world.hpp
+++ b/tests/standin/world.hpp
@@ -50,6 +50,7 @@
     Ms limits_fall_at = -1;
     // Mutations: each takes one guard away, and the checks must then find a broken rule.
     bool strip_fence = false;    // transactions lose their conditions
+    bool hide_relays = false;    // leaders don't see who answers workers for them
     double told_lease_s = 0;     // the service believes this lease instead of the real one
     double told_cancel_s = 0;    // ... and this time for cancellations
     double told_limit_cpus = 0;  // ... and this limit of the first team
@@ -88,6 +89,7 @@
     int zone_bound_losses = 0;      // machines lost that ran a task bound to their zone
     int starts_after_cancel = 0;    // starts after a confirmed cancellation, within cancel_s
     int refused_jobs = 0;           // jobs that can't run, and are told so
+    int relayed = 0;                // reports answered by another than the leader
     int upgraded = 0;               // controllers that changed over
     int replicas_again = 0;         // replicas of services that ran once more
     int services_refused = 0;       // 503 while a controller is old
@@ -173,6 +175,7 @@
     void plan_rollout();
     void plan_lower_limits();
     std::uint32_t feature_level(std::size_t i) const;
+    const std::string& zone_of_controller(std::size_t i) const { return zones_[i % 2]; }
     std::size_t replicas_up(const std::string& id) const;
     void end_replica_sometimes(Worker& w, const Running& r);
     void submit(const std::string& id);
--- a/tests/world_test.cpp
+++ b/tests/world_test.cpp
@@ -135,6 +135,7 @@
         {Fault::fast_machines_slow_writes, {&World::started_fast, 30}},
         {Fault::small_job_flood, {&World::small_jobs, 1000}},
         {Fault::zone_loses_machines, {&World::zone_bound_losses, 10}},
+        {Fault::zones_apart, {&World::relayed, 100}},
     };
     return table;
 }
@@ -206,6 +207,10 @@
         {Fault::fast_machines_slow_writes, Fault::reports_for_next_leader, Fault::spot_notice},
         {Fault::small_job_flood, Fault::close_looks, Fault::controller_restarts},
         {Fault::zone_loses_machines, Fault::zone_cut_off, Fault::cancellation_in_handover},
+        {Fault::zones_apart, Fault::mass_cancellation, Fault::controller_restarts},
+        {Fault::zones_apart, Fault::leaders_end_in_turn, Fault::late_writes},
+        {Fault::zones_apart, Fault::state_refuses_controller, Fault::machine_reboots},
+        {Fault::zones_apart, Fault::controller_cut_from_all, Fault::cancellation_in_handover},
     };
     for (std::size_t meeting = 0; meeting < meetings.size(); ++meeting) {
         for (std::uint64_t day = 0; day < 6; ++day) {
@@ -244,6 +249,38 @@
     EXPECT_GT(found, 0);
 }
 
+// Two zones that can't reach each other for longer than a lease: work on the far side goes on, as
+// its controllers answer for the leader.
+int leases_over_apart(bool hide_relays, int& broken, int& relayed) {
+    int over = 0;
+    for (std::uint64_t seed = 1; seed <= 12; ++seed) {
+        Options o = troubled({Fault::zones_apart}, 15000 + seed);
+        o.longest_run = 60000;
+        o.hide_relays = hide_relays;
+        World w(o);
+        w.run();
+        broken += static_cast<int>(w.violations.size());
+        relayed += w.relayed;
+        over += w.leases_over;
+    }
+    return over;
+}
+
+TEST(Relay, WorkInAZoneCutOffFromTheLeaderGoesOn) {
+    int broken = 0, relayed = 0;
+    int over = leases_over_apart(false, broken, relayed);
+    EXPECT_EQ(broken, 0);
+    EXPECT_GT(relayed, 500);
+    EXPECT_LE(over, 60);
+}
+
+// The leader must heed who answers for it, or it takes machines for lost whose work goes on.
+TEST(Mutation, WithRelaysUnseenARuleBreaks) {
+    int broken = 0, relayed = 0;
+    leases_over_apart(true, broken, relayed);
+    EXPECT_GT(broken, 0);
+}
+
 // However long nobody reaches the state service: while all controllers live and vouch for one
 // another, nothing can have been cancelled, and no lease need run out.
 TEST(Outage, WithAllControllersUpCostsNoTask) {
