--- a/src/coordination/peer_monitor.cpp
+++ b/src/coordination/peer_monitor.cpp
@@ -21,16 +21,19 @@
 
 // Another process than the one last heard: a new one, or one that was taken for ended. A message
 // held up for long may be the first that is heard of a process that ended long ago; the living one
-// then shows that it lives by echoing what we sent just now. (It was dropped for good before: one
-// late message made a controller deaf to that peer for the rest of its life.)
+// then shows that it lives by echoing what we sent just now, or by going on while the other is
+// silent. (It was dropped for good before: one late message made a controller deaf to that peer for
+// the rest of its life, and one at each end made both.) What is vouched for does not hang on which
+// of them lives: a message that echoes ours was written by a process alive since.
 bool PeerMonitor::change_process(Ms now, const PeerHeartbeat& fact, Ms echoed) {
     auto known = std::find_if(earlier_.begin(), earlier_.end(), [&](const Process& process) {
         return process.last.incarnation == fact.incarnation;
     });
     Process next;
     if (known != earlier_.end()) {
-        bool lives = echoed >= 0 && echoed > process_.vouched_until && now - echoed <= kFreshEcho;
-        if (!lives || fact.sequence <= known->last.sequence) {
+        bool fresh = echoed >= 0 && echoed > process_.vouched_until && now - echoed <= kFreshEcho;
+        bool other_silent = now - heard_at_ > kProcessSilent;
+        if (!(fresh || other_silent) || fact.sequence <= known->last.sequence) {
             return false;
         }
         next = std::move(*known);
--- a/src/coordination/peer_monitor.hpp
+++ b/src/coordination/peer_monitor.hpp
@@ -28,6 +28,7 @@
     static constexpr std::size_t kSentKept = 240;
     static constexpr std::size_t kEarlierKept = 64;
     static constexpr Ms kFreshEcho = 3000;
+    static constexpr Ms kProcessSilent = 3000;
 
     // One process of that controller.
     struct Process {
--- a/tests/leader_test.cpp
+++ b/tests/leader_test.cpp
@@ -1104,13 +1104,23 @@
 TEST_F(Vouching, AProcessTakenForEndedIsHeardAgainOnceItShowsThatItLives) {
     EXPECT_TRUE(tells(5200, "b", 5000, 5, 100));
     EXPECT_TRUE(tells(6100, "a", 1000, 0, 50, "")) << "of an earlier process, never heard before";
-    EXPECT_FALSE(tells(9100, "b", 8900, 5, 100)) << "an old echo proves nothing";
-    EXPECT_TRUE(tells(9200, "b", 9000, 9, 100));
+    EXPECT_FALSE(tells(9000, "b", 8800, 5, 100)) << "an old echo proves nothing";
+    EXPECT_TRUE(tells(9100, "b", 8900, 9, 100));
     EXPECT_EQ(peer.last().incarnation, "b");
-    EXPECT_FALSE(tells(9300, "a", 1200, 0, 50, ""));
+    EXPECT_FALSE(tells(9200, "a", 1200, 0, 50, ""));
     EXPECT_EQ(peer.told_until(500, 100), 9000);
 }
 
+// Late messages at both ends: neither echoes the other any more, and the living ones go on.
+TEST_F(Vouching, AProcessThatGoesOnWhileTheOtherIsSilentIsHeardAgain) {
+    EXPECT_TRUE(tells(5200, "b", 5000, 5, 100));
+    EXPECT_TRUE(tells(6100, "a", 1000, 0, 50, ""));
+    EXPECT_FALSE(tells(7100, "b", 6900, 3, 101, "me before"));
+    EXPECT_TRUE(tells(9200, "b", 9000, 3, 101, "me before"));
+    EXPECT_EQ(peer.last().incarnation, "b");
+    EXPECT_EQ(peer.told_until(500, 100), 5000) << "vouched for by echoes alone";
+}
+
 TEST(NodeTest, TheVeryFirstChangeOfAnEmptyStoreIsSeen) {
     // A reading at revision 0 once made the node follow changes from 1 on: it never saw the
     // leader's key, the store's first change, and campaigned for ever.
