--- a/src/bookkeeping/cluster_state.hpp
+++ b/src/bookkeeping/cluster_state.hpp
@@ -3,6 +3,7 @@
 // release().
 #pragma once
 
+#include <algorithm>
 #include <deque>
 #include <functional>
 #include <map>
@@ -88,6 +89,8 @@
     bool gathering = false;  // ... and whether machines are kept for it
     Ms replace_by = -1;      // gang: members lost before it began are to be replaced until then
 
+    // Its priority, or what it has risen to by waiting.
+    int effective_priority() const { return std::max(static_cast<int>(spec.priority), rank); }
     std::uint32_t waiting() const {
         return spec.tasks - next_fresh + static_cast<std::uint32_t>(again.size());
     }
--- /dev/null
+++ b/src/coordination/class_capacity.hpp
@@ -0,0 +1,40 @@
+// How much room each class of jobs has left in the fleet, and what placing a task takes from
+// others.
+#pragma once
+
+#include <set>
+
+#include "coordination/core.hpp"
+#include "coordination/free_capacity.hpp"
+#include "coordination/term_fwd.hpp"
+
+namespace walkford {
+
+class ClassCapacity {
+  public:
+    explicit ClassCapacity(Term& term) : term_(term) {}
+
+    // Counts anew, at the beginning of a round of placing.
+    void count(Ms now, const FreeCapacity& rooms);
+    // A task is being placed on the machine.
+    void take(const Machine& machine, const Amounts& each);
+
+    // What placing a task there takes away from classes that could use the room: slots lost, as a
+    // share of all the slots such a class has left.
+    double opportunity_cost(const Job& job, const FreeCapacity::Sort& sort,
+                            const Amounts& free) const;
+    // Must the machine be left to classes with a tighter aim on starting?
+    bool kept(const Job& job, const FreeCapacity::Sort& sort, const Amounts& free) const;
+    // Can this class run on a kind of machine held that the other can't use?
+    bool elsewhere(const JobSpec& one, const JobSpec& other) const;
+    double aim_of(const JobSpec& spec) const;  // its class's tightest aim on starting, in seconds
+
+  private:
+    Term& term_;
+    std::set<std::tuple<Id, Id, bool>> held_sorts_;  // kind, zone, spot of the machines held
+    // By cluster.shapes: free slots in the fleet, and the tightest aim on starting.
+    std::vector<double> free_slots_;
+    std::vector<double> aims_;
+};
+
+}  // namespace walkford
--- a/src/coordination/placer.cpp
+++ b/src/coordination/placer.cpp
@@ -17,9 +17,6 @@
 constexpr Ms kRoundSpacing = 50;
 // A round ends after so many looks at a machine, if its time isn't spent before.
 constexpr std::size_t kMostLooked = 400000;
-constexpr int kMostPreemptions = 8;  // jobs that look for work to stop, in one go
-constexpr Ms kMoveReplicasAfter = 60000;
-constexpr Ms kShapeKept = 600000;  // a class not seen for so long is not kept room for
 // Placements not yet written are bounded: more would only wait for the state service.
 constexpr std::uint32_t kMostPerJob = 256;
 }  // namespace
@@ -75,156 +72,22 @@
     return static_cast<int>(images.size());
 }
 
-double Placer::opportunity_cost(const Job& job, const FreeCapacity::Sort& sort,
-                                const Amounts& free) const {
-    const ClusterState& cluster = term_.cluster;
-    double sum = 0;
-    for (std::size_t i = 0; i < cluster.shapes.size(); ++i) {
-        const Shape& shape = cluster.shapes[i];
-        if (shape.lane == job.spec.lane || i >= lane_slots_.size()) {
-            continue;
-        }
-        auto before = ClusterState::slots(shape.spec, sort.kind, sort.zone, sort.spot, free);
-        if (before == 0) {
-            continue;
-        }
-        auto after =
-            ClusterState::slots(shape.spec, sort.kind, sort.zone, sort.spot, free - job.spec.each);
-        sum += static_cast<double>(before - after) / std::max(1.0, lane_slots_[i]);
-    }
-    return sum;
-}
-
 // Takes a task into the cluster state; keeps the round's own view right.
 void Placer::put(TaskRef ref, Id machine, std::uint32_t attempt, Ms now) {
     ClusterState& cluster = term_.cluster;
     const Machine& m = cluster.machines[machine];
     const Amounts& each = cluster.jobs[ref.job].spec.each;
-    if (const Kind* kind = cluster.kind(m.kind)) {
-        for (std::size_t i = 0; i < lane_slots_.size(); ++i) {
-            Amounts free = kind->size - m.used;
-            const JobSpec& s = cluster.shapes[i].spec;
-            lane_slots_[i] -= ClusterState::slots(s, m.kind, m.zone, m.spot, free);
-            lane_slots_[i] += ClusterState::slots(s, m.kind, m.zone, m.spot, free - each);
-        }
-    }
+    classes_.take(m, each);
     cluster.place(ref, machine, attempt, now);
     rooms_.update(cluster, machine);
 }
 
-bool Placer::kept(const Job& job, const FreeCapacity::Sort& sort, const Amounts& free) const {
-    const ClusterState& cluster = term_.cluster;
-    if (term_.core.policy.keep_slots == 0) {
-        return false;
-    }
-    double own = aim_of(job.spec);
-    for (std::size_t i = 0; i < lane_slots_.size(); ++i) {
-        const JobSpec& other = cluster.shapes[i].spec;
-        if (cluster.shapes[i].lane == job.spec.lane) {
-            continue;
-        }
-        double lost =
-            ClusterState::slots(other, sort.kind, sort.zone, sort.spot, free) -
-            ClusterState::slots(other, sort.kind, sort.zone, sort.spot, free - job.spec.each);
-        if (lost <= 0 || lane_slots_[i] - lost >= term_.core.policy.keep_slots) {
-            continue;
-        }
-        // Only from those who have somewhere else to go; for those with a tighter aim, or who have
-        // not.
-        if (!elsewhere(job.spec, other)) {
-            continue;
-        }
-        if (lane_aim_[i] < own || !elsewhere(other, job.spec)) {
-            return true;
-        }
-    }
-    return false;
-}
-
-bool Placer::elsewhere(const JobSpec& one, const JobSpec& other) const {
-    const ClusterState& cluster = term_.cluster;
-    return std::any_of(sorts_.begin(), sorts_.end(), [&](const auto& sort) {
-        const auto& [kind, zone, spot] = sort;
-        const Kind* k = cluster.kind(kind);
-        return k && ClusterState::slots(one, kind, zone, spot, k->size) > 0 &&
-               ClusterState::slots(other, kind, zone, spot, k->size) == 0;
-    });
-}
-
-double Placer::aim_of(const JobSpec& s) const {
-    for (std::size_t i = 0; i < lane_aim_.size(); ++i) {
-        if (term_.cluster.shapes[i].lane == s.lane) {
-            return lane_aim_[i];
-        }
-    }
-    return 1e18;
-}
-
 bool Placer::over_in_time(const JobSpec& s, const Machine& m, double fetch_s) const {
     // Estimates are often wrong by half.
     double span = fetch_s + 1.5 * s.estimate_s + 2 * term_.core.platform.report_s;
     return !s.starts_together() && s.estimate_s > 0 && now_ + to_ms(span) <= m.kept_ready;
 }
 
-bool Placer::may_stop(const Job& v, const Job& j) const {
-    const ClusterState& cluster = term_.cluster;
-    if (v.spec.starts_together()) {
-        return false;
-    }
-    if (may_move(v, j)) {
-        return true;
-    }
-    if (rank_of(v) >= static_cast<int>(j.spec.priority)) {
-        return false;
-    }
-    // What a team runs within its guarantee need not make room for others.
-    if (v.spec.team != j.spec.team && cluster.within_guarantee(v.spec.team, Amounts{})) {
-        return false;
-    }
-    // Work that can run nowhere else only loses, unless nobody asked for it to start soon.
-    return elsewhere(v.spec, j.spec) || aim_of(v.spec) > aim_of(j.spec);
-}
-
-// A replica never frees its place by itself: for work that has waited long it is stopped, to run
-// again elsewhere. (Three replicas on one of a zone's four small machines kept a gang of four from
-// ever beginning.)
-bool Placer::may_move(const Job& v, const Job& j) const {
-    return v.spec.service() && !j.spec.service() && now_ >= j.waiting_since + kMoveReplicasAfter;
-}
-
-void Placer::count_slots(Ms now) {
-    const ClusterState& cluster = term_.cluster;
-    lane_slots_.assign(cluster.shapes.size(), 0);
-    lane_aim_.assign(cluster.shapes.size(), 1e18);
-    sorts_.clear();
-    for (const Machine& m : cluster.machines) {
-        if (m.held && !m.gone) {
-            sorts_.insert({m.kind, m.zone, m.spot});
-        }
-    }
-    for (std::size_t i = 0; i < cluster.shapes.size(); ++i) {
-        const Shape& shape = cluster.shapes[i];
-        for (const WaitAim& aim : term_.core.platform.wait_aims) {
-            if (cluster.names.lanes.find(aim.lane) == shape.lane) {
-                lane_aim_[i] = std::min(lane_aim_[i], aim.within_s);
-            }
-        }
-        if (now > shape.seen + kShapeKept) {
-            lane_slots_[i] = 1e9;
-            continue;
-        }
-        for (const FreeCapacity::Sort& sort : rooms_.sorts()) {
-            if (!FreeCapacity::allowed(shape.spec, sort)) {
-                continue;
-            }
-            for (const FreeCapacity::Room& room : sort.rooms) {
-                lane_slots_[i] +=
-                    ClusterState::slots(shape.spec, sort.kind, sort.zone, sort.spot, room.free);
-            }
-        }
-    }
-}
-
 bool Placer::admits(const Job& job, const FreeCapacity::Sort& sort) const {
     const JobSpec& s = job.spec;
     if (!FreeCapacity::allowed(s, sort)) {
@@ -263,12 +126,12 @@
         }
         // (Not from services: a replica that may be in one zone only, as its job is spread, waited
         // for ever for the places kept there. They are few, and wanted at once.)
-        if (!s.service() && kept(job, sort, room.free)) {
+        if (!s.service() && classes_.kept(job, sort, room.free)) {
             return std::nullopt;
         }
     }
-    double wait =
-        fetch + term_.core.policy.opportunity_cost_s * opportunity_cost(job, sort, room.free);
+    double wait = fetch + term_.core.policy.opportunity_cost_s *
+                              classes_.opportunity_cost(job, sort, room.free);
     Score least = least_score(job, sort, room);
     std::get<1>(least) = std::round(wait / 2);
     return least;
@@ -540,8 +403,9 @@
         gathering_ = 0;
     }
     now_ = now;
+    preemption_.set_now(now);
     rooms_.build(cluster, usable);
-    count_slots(now);
+    classes_.count(now, rooms_);
     // The budget keeps heartbeats and leases answered in time when thousands of jobs wait.
     auto deadline = term_.core.stopwatch() + to_ms(term_.core.policy.round_budget_ms);
     looked_ = 0;
@@ -557,9 +421,8 @@
     if (cursor_ >= order_.size()) {
         ++rounds_;
     }
-    if (term_.core.policy.preempt && now >= preempt_at_) {
-        preempt_at_ = now + 500;
-        preempt(now, usable);
+    if (term_.core.policy.preempt) {
+        preemption_.tick(now, order_, usable);
     }
 }
 
@@ -602,177 +465,9 @@
         place_batch(now, id);
     } else if (!place_gang(now, id) && s.tasks > 1 && gathering_ < policy.gather &&
                now >= j.waiting_since + to_ms(policy.gather_after_s)) {
-        auto stop = [this](const Job& v, const Job& job) { return may_stop(v, job); };
+        auto stop = [this](const Job& v, const Job& job) { return preemption_.may_stop(v, job); };
         gathering_ += gatherer_.gather(now, id, usable, stop);
     }
 }
 
-// Room for work of higher priority, or for a team within its guarantee from one beyond its own. The
-// work stopped saves first; the room is kept for whom it was made. At most two are helped and a few
-// looked at in one go; the next goes on where this one stopped.
-void Placer::preempt(Ms now, const std::vector<Id>& usable) {
-    ClusterState& cluster = term_.cluster;
-    // One job of each class and team with work that can be stopped, of the lowest rank: who could
-    // stop none of these need not look at two thousand machines.
-    running_.clear();
-    for (Id id = 0; id < cluster.jobs.size(); ++id) {
-        const Job& j = cluster.jobs[id];
-        if (!j.alive || j.placed == 0 || j.spec.starts_together()) {
-            continue;
-        }
-        auto [it, fresh] = running_.try_emplace({j.spec.lane, j.spec.team}, id);
-        if (!fresh && rank_of(j) < rank_of(cluster.jobs[it->second])) {
-            it->second = id;
-        }
-    }
-    if (running_.empty()) {
-        return;
-    }
-    int made = 0;
-    int tried = 0;
-    if (preempt_cursor_ >= order_.size()) {
-        preempt_cursor_ = 0;
-    }
-    for (std::size_t n = 0; n < order_.size() && made < 2 && tried < kMostPreemptions; ++n) {
-        Id id = order_[preempt_cursor_];
-        preempt_cursor_ = (preempt_cursor_ + 1) % order_.size();
-        const Job& j = cluster.jobs[id];
-        const JobSpec& s = j.spec;
-        if (!j.alive || j.cancelled || j.ending || j.waiting() == 0 || j.not_before > now) {
-            continue;
-        }
-        if (now < j.waiting_since + to_ms(term_.core.policy.preempt_after_s)) {
-            continue;
-        }
-        if (s.starts_together() || !cluster.within_limit(s.team, s.each)) {
-            continue;
-        }
-        bool guaranteed = cluster.within_guarantee(s.team, s.each);
-        bool any = std::any_of(running_.begin(), running_.end(), [&](const auto& entry) {
-            const Job& v = cluster.jobs[entry.second];
-            return stoppable(v, j, guaranteed) && elsewhere(v.spec, s);
-        });
-        if (!any) {
-            continue;
-        }
-        bool being_made = std::any_of(cluster.machines.begin(), cluster.machines.end(),
-                                      [&](const Machine& m) { return m.kept_for == id; });
-        if (being_made) {
-            continue;
-        }
-        ++tried;
-        made += preempt_for(now, id, usable);
-    }
-    if (made < 2 && tried < kMostPreemptions) {
-        preempt_cursor_ = 0;  // all were looked at
-    }
-}
-
-int Placer::rank_of(const Job& j) { return std::max(static_cast<int>(j.spec.priority), j.rank); }
-
-// May the victim's work make room for the job, by priority or by guarantee?
-bool Placer::stoppable(const Job& v, const Job& j, bool guaranteed) const {
-    if (rank_of(v) < static_cast<int>(j.spec.priority) || may_move(v, j)) {
-        return true;
-    }
-    return guaranteed && v.spec.team != j.spec.team && term_.cluster.team(v.spec.team) &&
-           !term_.cluster.within_guarantee(v.spec.team, Amounts{});
-}
-
-bool Placer::preempt_for(Ms now, Id id, const std::vector<Id>& usable) {
-    ClusterState& cluster = term_.cluster;
-    Job& j = cluster.jobs[id];
-    const JobSpec& s = j.spec;
-    bool guaranteed = cluster.within_guarantee(s.team, s.each);
-    std::map<Id, bool> may;  // by the victim's job
-    double best_cost = 1e18;
-    Id best = kNone;
-    std::vector<TaskRef> best_victims;
-    for (Id mid : usable) {
-        const Machine& m = cluster.machines[mid];
-        const Kind* kind = cluster.kind(m.kind);
-        if (!kind || m.kept_for != kNone ||
-            ClusterState::slots(s, m.kind, m.zone, m.spot, kind->size) == 0) {
-            continue;
-        }
-        if (s.one_zone && !j.zones.empty() && j.zones.begin()->first != m.zone) {
-            continue;
-        }
-        if (s.spread && j.zones.count(m.zone) && j.zones.at(m.zone) >= s.zone_most()) {
-            continue;
-        }
-        if (j.failed_on.count(mid)) {
-            continue;
-        }
-        std::vector<std::pair<double, TaskRef>> victims;
-        for (TaskRef ref : m.tasks) {
-            const Job& v = cluster.jobs[ref.job];
-            const Task& t = cluster.task(ref);
-            if (t.halting || v.spec.starts_together()) {
-                continue;
-            }
-            auto [it, fresh] = may.try_emplace(ref.job, false);
-            // Work that can run nowhere else would only lose what it was doing.
-            if (fresh) {
-                it->second = stoppable(v, j, guaranteed) && elsewhere(v.spec, s);
-            }
-            if (!it->second) {
-                continue;
-            }
-            double ran =
-                t.running_since < 0 ? 0 : static_cast<double>(now - t.running_since) / 1000.0;
-            double cost = 1 + (v.spec.checkpoint_s > 0 ? v.spec.save_s : ran);
-            // One that is nearly over frees its room by itself.
-            if (t.running_since >= 0 && v.spec.estimate_s > 0 && ran > 0.8 * v.spec.estimate_s) {
-                cost += v.spec.save_s;
-            }
-            victims.emplace_back(cost, ref);
-        }
-        std::sort(victims.begin(), victims.end());
-        Amounts free = kind->size - m.used;
-        double cost = 0;
-        std::vector<TaskRef> chosen;
-        std::map<Id, Amounts> taken;  // a team is not pushed below its guarantee
-        for (const auto& [c, ref] : victims) {
-            if (s.each.fits_in(free)) {
-                break;
-            }
-            const Job& v = cluster.jobs[ref.job];
-            Amounts& gone = taken[v.spec.team];
-            if (v.spec.priority >= s.priority &&
-                cluster.within_guarantee(v.spec.team, Amounts{} - gone)) {
-                continue;
-            }
-            gone += v.spec.each;
-            free += v.spec.each;
-            cost += c;
-            chosen.push_back(ref);
-        }
-        if (chosen.empty() || !s.each.fits_in(free)) {
-            continue;
-        }
-        if (cost < best_cost) {
-            best_cost = cost;
-            best = mid;
-            best_victims = std::move(chosen);
-        }
-    }
-    if (best == kNone) {
-        return false;
-    }
-    Machine& m = cluster.machines[best];
-    double save = 0;
-    for (TaskRef ref : best_victims) {
-        save = std::max(save, cluster.jobs[ref.job].spec.save_s);
-    }
-    spdlog::info("{} takes room on {}: {} tasks are stopped", s.id, m.name, best_victims.size());
-    m.kept_for = id;
-    m.kept_until = now + to_ms(save + 2 * term_.core.platform.report_s) + 3000;
-    m.kept_ready = now;
-    for (TaskRef ref : best_victims) {
-        lifecycle_.halt(ref, cluster.jobs[ref.job].spec.save_s + 1, now, true);
-    }
-    return true;
-}
-
 }  // namespace walkford
--- a/src/coordination/placer.hpp
+++ b/src/coordination/placer.hpp
@@ -2,9 +2,11 @@
 // when all of it fits at once.
 #pragma once
 
+#include "coordination/class_capacity.hpp"
 #include "coordination/core.hpp"
 #include "coordination/free_capacity.hpp"
 #include "coordination/gang_reservation.hpp"
+#include "coordination/preemption.hpp"
 #include "coordination/term_fwd.hpp"
 
 namespace walkford {
@@ -14,7 +16,11 @@
 class Placer {
   public:
     Placer(Term& term, TaskLifecycle& lifecycle)
-        : term_(term), lifecycle_(lifecycle), gatherer_(term, lifecycle) {}
+        : term_(term),
+          lifecycle_(lifecycle),
+          gatherer_(term, lifecycle),
+          classes_(term),
+          preemption_(term, lifecycle, classes_) {}
 
     // One round, within the time budget; the next goes on where this one stopped.
     void round(Ms now, const WorkerManager& workers);
@@ -61,41 +67,22 @@
                                const FreeCapacity::Room& room) const;
     // How many tasks of the gang the zone (kNone: any) has room for; no further than it has tasks.
     std::uint32_t places(Id job, Id zone) const;
-    // What placing a task there takes away from classes that could use the room: slots lost, as a
-    // share of all the slots such a class has left.
-    double opportunity_cost(const Job& job, const FreeCapacity::Sort& sort,
-                            const Amounts& free) const;
     int fetching(const Machine& m) const;  // images on their way to it
-    void count_slots(Ms now);
-    // Can this class run on a kind of machine held that the other can't use?
-    bool elsewhere(const JobSpec& one, const JobSpec& other) const;
-    // Must the machine be left to classes with a tighter aim on starting?
-    bool kept(const Job& job, const FreeCapacity::Sort& sort, const Amounts& free) const;
-    void preempt(Ms now, const std::vector<Id>& usable);
-    bool preempt_for(Ms now, Id job, const std::vector<Id>& usable);
-    bool stoppable(const Job& victim, const Job& job, bool guaranteed) const;
-    static int rank_of(const Job& j);  // its priority, or what it has risen to
     // The best that a place can be, known without a look at the machine's tasks and images.
     static Score least_score(const Job& job, const FreeCapacity::Sort& sort,
                              const FreeCapacity::Room& room);
     // Would the task be over before the room that is gathered there is complete?
     bool over_in_time(const JobSpec& s, const Machine& m, double fetch_s) const;
-    // May this work be stopped to make room for that job's gang?
-    bool may_stop(const Job& victim, const Job& job) const;
-    // May a replica be moved away for work that has waited long?
-    bool may_move(const Job& victim, const Job& job) const;
-    double aim_of(const JobSpec& s) const;  // its class's tightest aim on starting, in seconds
 
     Term& term_;
     TaskLifecycle& lifecycle_;
     GangReservation gatherer_;
+    ClassCapacity classes_;
+    Preemption preemption_;
     Ms now_ = 0;
     Ms next_ = 0;
     Ms began_ = -1000000;  // the last round
     std::uint64_t rounds_ = 0;
-    Ms preempt_at_ = 0;
-    std::size_t preempt_cursor_ = 0;
-    std::map<std::pair<Id, Id>, Id> running_;  // class and team -> a job that could be stopped
     FreeCapacity rooms_;
     mutable std::size_t looked_ = 0;  // work done by this round
     std::vector<Id> order_;
@@ -107,10 +94,6 @@
     };
     std::map<Id, Blocked> blocked_;
     std::uint32_t gathering_ = 0;
-    std::set<std::tuple<Id, Id, bool>> sorts_;  // kind, zone, spot of the machines held
-    // By cluster.shapes: free slots in the fleet, and the tightest aim on starting.
-    std::vector<double> lane_slots_;
-    std::vector<double> lane_aim_;
 };
 
 }  // namespace walkford
