--- a/src/coordination/cloud_manager.cpp
+++ b/src/coordination/cloud_manager.cpp
@@ -376,42 +376,6 @@
     }
 }
 
-bool CloudManager::silent(const Machine& m, Ms now) const {
-    double longest_interval = 1.25 * term_.core.platform.report_s;
-    return now > m.last_heartbeat + to_ms(longest_interval + term_.core.policy.replica_silent_s);
-}
-
-bool CloudManager::runs_replicas(const Machine& m) const {
-    return std::any_of(m.tasks.begin(), m.tasks.end(), [this](TaskRef ref) {
-        const Job& job = term_.cluster.jobs[ref.job];
-        return job.spec.service() && !job.cancelled;
-    });
-}
-
-// Zones most of whose machines are silent: it is the network, or we stood still.
-std::set<Id> CloudManager::silent_zones(Ms now) const {
-    struct Count {
-        std::size_t silent = 0;
-        std::size_t all = 0;
-    };
-    std::map<Id, Count> counts;
-    for (const Machine& m : term_.cluster.machines) {
-        if (m.gone || !m.held || !m.reported || m.lost) {
-            continue;
-        }
-        Count& count = counts[m.zone];
-        ++count.all;
-        count.silent += silent(m, now);
-    }
-    std::set<Id> zones;
-    for (const auto& [zone, count] : counts) {
-        if (2 * count.silent > count.all) {
-            zones.insert(zone);
-        }
-    }
-    return zones;
-}
-
 void CloudManager::watch_machines(Ms now) {
     ClusterState& cluster = term_.cluster;
     const Policy& policy = term_.core.policy;
@@ -428,7 +392,6 @@
     if (ours && now > term_.elected_at + 10000) {
         term_.depose(now, "answers reach too few machines");
     }
-    std::set<Id> cut_off = silent_zones(now);
     for (Id id = 0; id < cluster.machines.size(); ++id) {
         Machine& m = cluster.machines[id];
         if (m.gone || m.returning) {
@@ -455,9 +418,6 @@
         } else if (m.lost && now > m.last_heartbeat +
                                        to_ms(term_.core.platform.lease_s + policy.lost_return_s)) {
             give_back(now, id, "silent");
-        } else if (policy.replica_silent_s > 0 && m.reported && silent(m, now) &&
-                   !cut_off.count(m.zone) && !term_.relayed(m) && runs_replicas(m)) {
-            give_back(now, id, "silent, its replicas run elsewhere");
         } else if (!m.reported && m.cloud == CloudStatus::running &&
                    now > std::max({m.listed_since + to_ms(policy.unseen_return_s),
                                    term_.elected_at + to_ms(policy.unseen_return_s),
--- a/src/coordination/cloud_manager.hpp
+++ b/src/coordination/cloud_manager.hpp
@@ -34,9 +34,6 @@
     void adopt(Ms now);
     void removed(Ms now, Id machine, const char* why);
     void watch_machines(Ms now);
-    bool silent(const Machine& m, Ms now) const;
-    bool runs_replicas(const Machine& m) const;
-    std::set<Id> silent_zones(Ms now) const;
     void read_kinds(Ms now);
 
     Term& term_;
--- a/src/coordination/policy.hpp
+++ b/src/coordination/policy.hpp
@@ -32,7 +32,6 @@
     double takeover_probe_s = 5;
     double unseen_return_s = 45;
     double deaf_return_s = 25;
-    double replica_silent_s = 6;
     double settle_s = 0;
     double idle_hold_s = 0;
     bool preempt = true;
--- a/src/protocol/settings_file.cpp
+++ b/src/protocol/settings_file.cpp
@@ -256,7 +256,6 @@
         {"machines.lost_return_s", {&q.lost_return_s, 0, 3600}},
         {"machines.unseen_return_s", {&q.unseen_return_s, 1, 3600}},
         {"machines.deaf_return_s", {&q.deaf_return_s, 1, 3600}},
-        {"machines.replica_silent_s", {&q.replica_silent_s, 0, 3600}},
         {"workers.settle_s", {&q.settle_s, 0, 2}},
         {"workers.idle_hold_s", {&q.idle_hold_s, 0, 3}},
         {"place.round_budget_ms", {&q.round_budget_ms, 0.1, 1000}},
--- a/tests/leader_test.cpp
+++ b/tests/leader_test.cpp
@@ -540,60 +540,6 @@
     EXPECT_EQ(w.heartbeat("host-1").size(), 1U);
 }
 
-// A machine that falls silent with replicas on it is given back before its lease is over: the
-// cloud's answer proves that they are gone. Not one with other work, nor where a whole zone is
-// silent.
-struct SilentMachines {
-    Bench w;
-    std::map<std::string, int> returned;
-    SilentMachines() : w([](Bench& b) { b.platform.lease_s = 30; }) {
-        w.lead({{"host-1", 0}, {"host-2", 0}, {"host-3", 0}, {"host-4", 0}, {"host-5", 0}});
-    }
-    void run(const std::string& id, JobShape shape) {
-        JobSpec s = w.spec(id, 8);
-        s.shape = shape;
-        w.job(s);
-        w.pass(500);
-    }
-    void pass(Ms span, const std::set<std::string>& talking) {
-        for (Ms end = w.now + span; w.now < end;) {
-            for (const std::string& name : talking) {
-                w.heartbeat(name);
-            }
-            w.pass(500);
-        }
-        for (const CloudCall& call : w.asked) {
-            for (const std::string& name : call.names) {
-                ++returned[name];
-            }
-        }
-    }
-};
-
-TEST(Services, AReplicaOnASilentMachineRunsElsewhereBeforeTheLeaseIsOver) {
-    SilentMachines days;
-    days.run("j-service", JobShape::service);
-    std::string with_replica = days.w.where("j-service");
-    days.run("j-batch", JobShape::batch);
-    std::string with_batch = days.w.where("j-batch");
-    std::set<std::string> talking{"host-1", "host-2", "host-3", "host-4", "host-5"};
-    talking.erase(with_replica);
-    talking.erase(with_batch);
-    days.pass(5000, talking);
-    EXPECT_EQ(days.returned.count(with_replica), 0U);
-    days.pass(5000, talking);
-    EXPECT_EQ(days.returned.count(with_replica), 1U);
-    EXPECT_EQ(days.returned.count(with_batch), 0U);
-}
-
-TEST(Services, AMachineIsNotGivenBackWhereItsWholeZoneIsSilent) {
-    SilentMachines days;
-    days.run("j-service", JobShape::service);
-    std::string with_replica = days.w.where("j-service");
-    days.pass(15000, {with_replica == "host-1" ? "host-2" : "host-1"});
-    EXPECT_EQ(days.returned.count(with_replica), 0U);
-}
-
 TEST(Deaf, AMachineThatNeverTakesInItsOrdersIsGivenBackAndItsTaskRunsElsewhere) {
     Bench w([](Bench& b) { b.policy.idle_cost = 0; });
     w.lead({{"host-1", 0}, {"host-2", 0}, {"host-3", 0}});
--- a/tests/loopback_test.cpp
+++ b/tests/loopback_test.cpp
@@ -278,7 +278,9 @@
         pids[i] = fork();
         if (pids[i] == 0) {
             setenv("LOG_LEVEL", "error", 1);
-            execl(binary[i], "walkford", "--config", path.c_str(), nullptr);
+            // The old version must start with the settings file of the new one, too.
+            execl(binary[i], "walkford", "--properties", WALKFORD_PROPERTIES, "--config",
+                  path.c_str(), nullptr);
             _exit(127);
         }
     }
