--- a/tests/upgrade_test.cpp
+++ b/tests/upgrade_test.cpp
@@ -5,27 +5,13 @@
 
 #include <cstdlib>
 
+#include "standin/test_support.hpp"
 #include "standin/world.hpp"
 
 namespace walkford::standin {
 namespace {
 
-class Quiet : public testing::Environment {
-  public:
-    void SetUp() override {
-        const char* level = std::getenv("LOG_LEVEL");
-        spdlog::set_level(level ? spdlog::level::from_str(level) : spdlog::level::off);
-    }
-};
-const testing::Environment* const kQuiet = testing::AddGlobalTestEnvironment(new Quiet);
-
-std::string all(const World& w) {
-    std::string s;
-    for (const std::string& v : w.violations) {
-        s += "\n  " + v;
-    }
-    return s;
-}
+const testing::Environment* const kQuiet = testing::AddGlobalTestEnvironment(new QuietLog);
 
 Options rollout_day(std::uint64_t seed) {
     Options o;
