Read-through: one place for the arithmetic of held leases, for writes that met another leader, for stored values

Also: a new job's record and the registry's first value are encoded once, time is passed to the preemption instead of kept, seeds to search are read in one place.

--- a/src/bookkeeping/cluster_state.cpp
+++ b/src/bookkeeping/cluster_state.cpp
@@ -324,7 +324,7 @@
     }
 }
 
-void ClusterState::load_job(const JobView& view, const std::map<std::uint32_t, ChunkView>* chunks,
+void ClusterState::load_job(const JobView& view, const std::map<std::uint32_t, StoredValue>* chunks,
                             Ms now) {
     Id job = add_job(view, now);
     if (!chunks) {
--- a/src/bookkeeping/cluster_state.hpp
+++ b/src/bookkeeping/cluster_state.hpp
@@ -218,7 +218,7 @@
     bool within_guarantee(Id team, const Amounts& more) const;
 
     // Adopts what an earlier leader wrote.
-    void load_job(const JobView& view, const std::map<std::uint32_t, ChunkView>* chunks, Ms now);
+    void load_job(const JobView& view, const std::map<std::uint32_t, StoredValue>* chunks, Ms now);
     void touch(TaskRef ref) { dirty.insert({ref.job, ref.task / jobs[ref.job].spec.chunk}); }
     std::vector<TaskRecord> snapshot(Id job, std::uint32_t chunk) const;
     // Does the durable record say what the cluster state says?
--- a/src/bookkeeping/view.cpp
+++ b/src/bookkeeping/view.cpp
@@ -180,7 +180,7 @@
         return false;
     }
     if (row.value) {
-        list[index] = ChunkView{*row.value, row.stamp};
+        list[index] = StoredValue{*row.value, row.stamp};
     } else {
         list.erase(index);
     }
@@ -263,7 +263,7 @@
     return it == jobs_.end() ? nullptr : &it->second;
 }
 
-const std::map<std::uint32_t, ChunkView>* View::chunks(const std::string& id) const {
+const std::map<std::uint32_t, StoredValue>* View::chunks(const std::string& id) const {
     auto it = chunks_.find(id);
     return it == chunks_.end() ? nullptr : &it->second;
 }
--- a/src/bookkeeping/view.hpp
+++ b/src/bookkeeping/view.hpp
@@ -19,12 +19,8 @@
     std::uint64_t stamp = 0;
 };
 
-struct ChunkView {
-    Json value;
-    std::uint64_t stamp = 0;
-};
-
-struct RegistryPartView {
+// A value as it stands in the state service.
+struct StoredValue {
     Json value;
     std::uint64_t stamp = 0;
 };
@@ -49,8 +45,8 @@
 
     const JobView* job(const std::string& id) const;
     const std::map<std::string, JobView>& jobs() const { return jobs_; }
-    const std::map<std::uint32_t, ChunkView>* chunks(const std::string& id) const;
-    const std::map<std::string, std::map<std::uint32_t, ChunkView>>& all_chunks() const {
+    const std::map<std::uint32_t, StoredValue>* chunks(const std::string& id) const;
+    const std::map<std::string, std::map<std::uint32_t, StoredValue>>& all_chunks() const {
         return chunks_;
     }
     std::optional<EndedRecord> ended(const std::string& id) const;
@@ -65,7 +61,7 @@
     std::optional<LeaderRecord> leader;
     std::uint64_t leader_stamp = 0;  // 0: nobody leads
     // The machine registry by part.
-    std::map<std::uint32_t, RegistryPartView> registry_parts;
+    std::map<std::uint32_t, StoredValue> registry_parts;
     struct Announcement {
         std::uint32_t level = 0;
         std::uint64_t stamp = 0;
@@ -97,7 +93,7 @@
     Names& names_;
     std::uint64_t revision_ = 0;
     std::map<std::string, JobView> jobs_;
-    std::map<std::string, std::map<std::uint32_t, ChunkView>> chunks_;
+    std::map<std::string, std::map<std::uint32_t, StoredValue>> chunks_;
     // Ended jobs need not stay in memory: the most recent ones do, the rest are read when asked.
     static constexpr std::size_t kEndedKept = 8000;
     std::unordered_map<std::string, EndedRecord> ended_;
--- a/src/coordination/cloud_manager.cpp
+++ b/src/coordination/cloud_manager.cpp
@@ -137,35 +137,34 @@
         if (!known) {
             return;
         }
-        const RentalRequest request = *known;
-        const RentalRequest* hire = &request;
+        const RentalRequest hire = *known;
         ClusterState& cluster = term_.cluster;
         if (r.status == 200) {
-            spdlog::info("hire {}: {} of {} machines", name, r.names.size(), hire->count);
+            spdlog::info("hire {}: {} of {} machines", name, r.names.size(), hire.count);
             if (!r.names.empty()) {
-                refused_.erase({hire->kind, hire->zone, hire->spot});
+                refused_.erase({hire.kind, hire.zone, hire.spot});
             }
-            if (r.names.size() < hire->count) {
-                ran_out(at, hire->kind, hire->zone, hire->spot);
+            if (r.names.size() < hire.count) {
+                ran_out(at, hire.kind, hire.zone, hire.spot);
             }
             for (const std::string& machine : r.names) {
                 if (returned_.count(machine)) {
                     continue;
                 }
-                Id id = cluster.add_machine(machine, hire->kind, hire->zone, hire->spot, at);
+                Id id = cluster.add_machine(machine, hire.kind, hire.zone, hire.spot, at);
                 Machine& m = cluster.machines[id];
                 if (m.held) {
                     continue;
                 }
                 m.held = true;
                 m.rented_now = true;
-                m.permanent = hire->permanent;
-                m.kind = hire->kind;
-                m.zone = hire->zone;
-                m.spot = hire->spot;
+                m.permanent = hire.permanent;
+                m.kind = hire.kind;
+                m.zone = hire.zone;
+                m.spot = hire.spot;
                 strays_.erase(machine);
                 registry_.add_machine(
-                    {machine, hire->kind, hire->zone, hire->spot, hire->permanent, false});
+                    {machine, hire.kind, hire.zone, hire.spot, hire.permanent, false});
             }
             if (!r.names.empty()) {
                 registry_.set_first_rented();
@@ -176,15 +175,15 @@
             registry_.write(at);
         } else if (r.status == 503 && r.more) {
             // No capacity: surely not executed. (`more` is set for that answer alone.)
-            auto again = refused_.find({hire->kind, hire->zone, hire->spot});
+            auto again = refused_.find({hire.kind, hire.zone, hire.spot});
             spdlog::log(again != refused_.end() ? spdlog::level::debug : spdlog::level::info,
                         "hire {}: no capacity", name);
-            ran_out(at, hire->kind, hire->zone, hire->spot);
+            ran_out(at, hire.kind, hire.zone, hire.spot);
             registry_.remove_rental(name);
             registry_.write(at);
         } else if (r.status == 400) {
             spdlog::error("hire {} was refused as malformed", name);
-            refused_[{hire->kind, hire->zone, hire->spot}] = {at + 60000, 1};
+            refused_[{hire.kind, hire.zone, hire.spot}] = {at + 60000, 1};
             registry_.remove_rental(name);
             registry_.write(at);
         } else {
@@ -471,12 +470,10 @@
 }
 
 void CloudManager::tick(Ms now) {
-    if (term_.act) {
-        registry_.write(now);
-    }
     if (!term_.act) {
         return;
     }
+    registry_.write(now);
     if (!reading_kinds_ && now >= kinds_at_) {
         read_kinds(now);
     }
--- a/src/coordination/leader.cpp
+++ b/src/coordination/leader.cpp
@@ -313,11 +313,10 @@
             if (r.status != 409) {
                 return;  // the same conditions again: at most one copy takes effect
             }
+            if (term_.deposed_by(at, r)) {
+                return;
+            }
             for (const std::string& failed : r.failed) {
-                if (failed == keys::kLeader) {
-                    term_.depose(at, "a write found another leader");
-                    return;
-                }
                 if (failed == keys::job(id)) {
                     term_.refresh(at);
                 }
@@ -417,11 +416,8 @@
             if (r.status != 409) {
                 return;
             }
-            for (const std::string& failed : r.failed) {
-                if (failed == keys::kLeader) {
-                    term_.depose(at, "a write found another leader");
-                    return;
-                }
+            if (term_.deposed_by(at, r)) {
+                return;
             }
             term_.refresh(at);  // cancelled meanwhile, or an earlier copy of this write took effect
         });
--- a/src/coordination/leader.hpp
+++ b/src/coordination/leader.hpp
@@ -33,6 +33,16 @@
     // Calls that outlive the term find this gone.
     std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 
+    // A conditional write was refused because another leads: the term ends.
+    bool deposed_by(Ms at, const StateReply& reply) const {
+        bool other_leads = std::find(reply.failed.begin(), reply.failed.end(), keys::kLeader) !=
+                           reply.failed.end();
+        if (other_leads) {
+            depose(at, "a write found another leader");
+        }
+        return other_leads;
+    }
+
     // Another controller may renew the machine's lease.
     bool relayed(const Machine& machine) const {
         return machine.zone != kNone && core.view.relayed(core.names.zones.name(machine.zone));
--- a/src/coordination/leadership.cpp
+++ b/src/coordination/leadership.cpp
@@ -62,8 +62,7 @@
                                 known_token_ = token_;
                                 known_leader_ = core_.platform.node_name;
                                 lease_ = lease;
-                                // Counted from when it was asked for, less drift and a margin.
-                                valid_until_ = sent + ttl - ttl / 1000 - 200;
+                                valid_until_ = lease_held_until(sent, ttl);
                                 touch_at_ = then + ttl / 4;
                                 touching_ = false;
                                 core_.state.set_leading(true);
@@ -87,7 +86,7 @@
             }
             touching_ = false;
             if (r.status == 200) {
-                valid_until_ = std::max(valid_until_, sent + ttl - ttl / 1000 - 200);
+                valid_until_ = std::max(valid_until_, lease_held_until(sent, ttl));
                 touch_at_ = sent + ttl / 4;
             } else if (r.status == 404) {
                 depose(at, "lease ended");
--- a/src/coordination/lease_relay.cpp
+++ b/src/coordination/lease_relay.cpp
@@ -8,8 +8,8 @@
 
 namespace {
 constexpr Ms kLeaseTtl = 4000;
-constexpr Ms kLeaseMargin = 200;
 constexpr Ms kRetry = 1000;
+constexpr Ms kRetryRenewal = 200;
 constexpr Ms kProveEvery = 1000;
 constexpr Ms kProofKept = 5000;  // no answer on a proof of the view older than this
 constexpr Ms kAskedLately = 10000;
@@ -74,7 +74,7 @@
                         }
                         token_ = token;
                         lease_ = lease;
-                        valid_until_ = sent + kLeaseTtl - kLeaseTtl / 1000 - kLeaseMargin;
+                        valid_until_ = lease_held_until(sent, kLeaseTtl);
                         renew_at_ = sent + kLeaseTtl / 4;
                         renewing_ = false;
                         prove_at_ = at;
@@ -93,13 +93,12 @@
             }
             renewing_ = false;
             if (reply.status == 200) {
-                valid_until_ =
-                    std::max(valid_until_, sent + kLeaseTtl - kLeaseTtl / 1000 - kLeaseMargin);
+                valid_until_ = std::max(valid_until_, lease_held_until(sent, kLeaseTtl));
                 renew_at_ = sent + kLeaseTtl / 4;
             } else if (reply.status == 404) {
                 end();
             } else {
-                renew_at_ = at + kLeaseMargin;
+                renew_at_ = at + kRetryRenewal;
             }
         },
         core_.out);
--- a/src/coordination/lease_relay.hpp
+++ b/src/coordination/lease_relay.hpp
@@ -21,9 +21,9 @@
     void tick(Ms now, bool leader_silent);
     // Answers the report in the leader's place; false if that is not allowed now.
     bool answer(Ms now, const HeartbeatRequest& heartbeat);
-    bool active(Ms now) const { return token_ != 0 && now < valid_until_; }
 
   private:
+    bool active(Ms now) const { return token_ != 0 && now < valid_until_; }
     bool wanted(Ms now, bool leader_silent) const;
     void begin(Ms now);
     void announce(Ms sent, std::uint64_t lease, std::uint64_t token);
--- a/src/coordination/placer.cpp
+++ b/src/coordination/placer.cpp
@@ -403,7 +403,6 @@
         gathering_ = 0;
     }
     now_ = now;
-    preemption_.set_now(now);
     rooms_.build(cluster, usable);
     classes_.count(now, rooms_);
     // The budget keeps heartbeats and leases answered in time when thousands of jobs wait.
@@ -465,7 +464,9 @@
         place_batch(now, id);
     } else if (!place_gang(now, id) && s.tasks > 1 && gathering_ < policy.gather &&
                now >= j.waiting_since + to_ms(policy.gather_after_s)) {
-        auto stop = [this](const Job& v, const Job& job) { return preemption_.may_stop(v, job); };
+        auto stop = [this, now](const Job& v, const Job& job) {
+            return preemption_.may_stop(now, v, job);
+        };
         gathering_ += gatherer_.gather(now, id, usable, stop);
     }
 }
--- a/src/coordination/preemption.cpp
+++ b/src/coordination/preemption.cpp
@@ -17,16 +17,16 @@
 // A replica never frees its place by itself: for work that has waited long it is stopped, to run
 // again elsewhere. (Three replicas on one of a zone's four small machines kept a gang of four from
 // ever beginning.)
-bool Preemption::may_move(const Job& v, const Job& j) const {
-    return v.spec.service() && !j.spec.service() && now_ >= j.waiting_since + kMoveReplicasAfter;
+bool Preemption::may_move(Ms now, const Job& v, const Job& j) {
+    return v.spec.service() && !j.spec.service() && now >= j.waiting_since + kMoveReplicasAfter;
 }
 
-bool Preemption::may_stop(const Job& v, const Job& j) const {
+bool Preemption::may_stop(Ms now, const Job& v, const Job& j) const {
     const ClusterState& cluster = term_.cluster;
     if (v.spec.starts_together()) {
         return false;
     }
-    if (may_move(v, j)) {
+    if (may_move(now, v, j)) {
         return true;
     }
     if (v.effective_priority() >= static_cast<int>(j.spec.priority)) {
@@ -41,8 +41,8 @@
 }
 
 // May the victim's work make room for the job, by priority or by guarantee?
-bool Preemption::stoppable(const Job& v, const Job& j, bool guaranteed) const {
-    if (v.effective_priority() < static_cast<int>(j.spec.priority) || may_move(v, j)) {
+bool Preemption::stoppable(Ms now, const Job& v, const Job& j, bool guaranteed) const {
+    if (v.effective_priority() < static_cast<int>(j.spec.priority) || may_move(now, v, j)) {
         return true;
     }
     return guaranteed && v.spec.team != j.spec.team && term_.cluster.team(v.spec.team) &&
@@ -96,7 +96,7 @@
         bool guaranteed = cluster.within_guarantee(s.team, s.each);
         bool any = std::any_of(running_.begin(), running_.end(), [&](const auto& entry) {
             const Job& v = cluster.jobs[entry.second];
-            return stoppable(v, j, guaranteed) && classes_.elsewhere(v.spec, s);
+            return stoppable(now, v, j, guaranteed) && classes_.elsewhere(v.spec, s);
         });
         if (!any) {
             continue;
@@ -149,7 +149,7 @@
             auto [it, fresh] = may.try_emplace(ref.job, false);
             // Work that can run nowhere else would only lose what it was doing.
             if (fresh) {
-                it->second = stoppable(v, j, guaranteed) && classes_.elsewhere(v.spec, s);
+                it->second = stoppable(now, v, j, guaranteed) && classes_.elsewhere(v.spec, s);
             }
             if (!it->second) {
                 continue;
--- a/src/coordination/preemption.hpp
+++ b/src/coordination/preemption.hpp
@@ -11,20 +11,18 @@
     Preemption(Term& term, TaskLifecycle& lifecycle, const ClassCapacity& classes)
         : term_(term), lifecycle_(lifecycle), classes_(classes) {}
 
-    void set_now(Ms now) { now_ = now; }
     void tick(Ms now, const std::vector<Id>& order, const std::vector<Id>& usable);
     // May this work be stopped to make room for that job's gang?
-    bool may_stop(const Job& victim, const Job& job) const;
+    bool may_stop(Ms now, const Job& victim, const Job& job) const;
 
   private:
-    bool may_move(const Job& victim, const Job& job) const;
-    bool stoppable(const Job& victim, const Job& job, bool guaranteed) const;
+    static bool may_move(Ms now, const Job& victim, const Job& job);
+    bool stoppable(Ms now, const Job& victim, const Job& job, bool guaranteed) const;
     bool make_room(Ms now, Id job, const std::vector<Id>& usable);
 
     Term& term_;
     TaskLifecycle& lifecycle_;
     const ClassCapacity& classes_;
-    Ms now_ = 0;
     Ms next_ = 0;
     std::size_t cursor_ = 0;
     std::map<std::pair<Id, Id>, Id> running_;  // class and team -> a job that could be stopped
--- a/src/coordination/registry_store.cpp
+++ b/src/coordination/registry_store.cpp
@@ -202,10 +202,12 @@
     rentals_.push_back(rental);
     const StateLimitsInForce& limits = term_.core.state.limits();
     std::size_t limit = may_divide() ? limits.value_bytes() : limits.current_value_bytes();
-    if (first_value_bytes() > limit && may_divide() && !divided()) {
+    std::size_t bytes = first_value_bytes();
+    if (bytes > limit && may_divide() && !divided()) {
         divide();
+        bytes = first_value_bytes();
     }
-    if (first_value_bytes() > limit) {
+    if (bytes > limit) {
         rentals_.pop_back();
         spdlog::error("the machine registry is full: {} machines are not rented", rental.count);
         return false;
@@ -340,8 +342,7 @@
     if (reply.status != 409) {
         return;
     }
-    if (std::count(reply.failed.begin(), reply.failed.end(), keys::kLeader)) {
-        term_.depose(now, "a write found another leader");
+    if (term_.deposed_by(now, reply)) {
         return;
     }
     // An earlier copy of our own write got there; ours is written over it.
--- a/src/coordination/state_client.hpp
+++ b/src/coordination/state_client.hpp
@@ -11,6 +11,13 @@
 
 namespace walkford {
 
+// Until when a lease of the state service that was granted or renewed is surely held: counted from
+// when that was asked for, less drift and a margin.
+inline Ms lease_held_until(Ms asked_at, Ms ttl) {
+    constexpr Ms kMargin = 200;
+    return asked_at + ttl - ttl / 1000 - kMargin;
+}
+
 // Order of service when the allowance is short.
 enum class Urgency : std::uint8_t { leadership, cancel, accept, placement, done, progress };
 inline constexpr std::size_t kUrgencies = 6;
@@ -54,14 +61,13 @@
         Then then;
     };
     CallId open(Pending pending);
+    // This node's share of the writes that the state service admits.
+    double rate() const;
 
     CallId next_ = 1;
     Ms clock_ = 0;
     std::unordered_map<CallId, Pending> pending_;
     std::array<std::deque<Queued>, kUrgencies> queues_;
-    // This node's share of the writes that the state service admits.
-    double rate() const;
-
     StateLimitsInForce limits_;
     std::uint32_t nodes_;
     double tokens_ = 4;
--- a/src/coordination/state_limits.hpp
+++ b/src/coordination/state_limits.hpp
@@ -40,7 +40,6 @@
         return lowered_ ? std::min(current_.writes_per_s, next_.writes_per_s)
                         : current_.writes_per_s;
     }
-    bool lowered() const { return lowered_; }
 
     // A write was refused for the rate. True if this shows that the later limits are in force.
     bool refused(Ms now) {
--- a/src/coordination/user_requests.cpp
+++ b/src/coordination/user_requests.cpp
@@ -242,41 +242,43 @@
     // Sized so that a record with every task on another machine stays within a value.
     spec.chunk = static_cast<std::uint32_t>(
         std::clamp(value_bytes / kTaskRecordBytes, kLeastChunk, kMostChunk));
-    if (encode_job({spec, false}, core_.names).dump().size() > value_bytes) {
+    Json record = encode_job({std::move(spec), false}, core_.names);
+    if (record.dump().size() > value_bytes) {
         refuse_for_good(now, request, id, "its description is too large to be stored");
         return;
     }
-    create(now, request, std::move(spec), 0);
+    create(request, id, std::move(record), 0);
 }
 
-void UserRequests::create(Ms, RequestId request, JobSpec spec, int tries) {
+void UserRequests::create(RequestId request, const std::string& id, Json record, int tries) {
     Txn txn;
-    txn.conditions = {{keys::job(spec.id), 0}, {keys::ended(spec.id), 0}};
-    txn.writes = {{keys::job(spec.id), encode_job({spec, false}, core_.names), 0}};
-    core_.state.txn(Urgency::accept, std::move(txn),
-                    [this, request, spec = std::move(spec), tries](Ms at, const StateReply& r) {
-                        if (!is_open(request)) {
-                            return;
-                        }
-                        if (r.status == 200) {
-                            UserAnswer a;
-                            a.code = 201;
-                            a.id = spec.id;
-                            a.status = JobStatus::pending;
-                            answer(request, std::move(a));
-                        } else if (r.status == 409) {
-                            // Accepted already: by another node, or by an earlier copy of this very
-                            // write.
-                            tell_fresh(at, request, spec.id, false,
-                                       [this, request](Ms) { refuse(request, 503, "try again"); });
-                        } else if (r.status == 0 && tries < 2) {
-                            // May have happened. The same write again is harmless: it creates or
-                            // finds the job.
-                            create(at, request, spec, tries + 1);
-                        } else {
-                            refuse(request, 503, "the state service does not answer");
-                        }
-                    });
+    txn.conditions = {{keys::job(id), 0}, {keys::ended(id), 0}};
+    txn.writes = {{keys::job(id), record, 0}};
+    core_.state.txn(
+        Urgency::accept, std::move(txn),
+        [this, request, id, record = std::move(record), tries](Ms at, const StateReply& r) {
+            if (!is_open(request)) {
+                return;
+            }
+            if (r.status == 200) {
+                UserAnswer a;
+                a.code = 201;
+                a.id = id;
+                a.status = JobStatus::pending;
+                answer(request, std::move(a));
+            } else if (r.status == 409) {
+                // Accepted already: by another node, or by an earlier copy of this very
+                // write.
+                tell_fresh(at, request, id, false,
+                           [this, request](Ms) { refuse(request, 503, "try again"); });
+            } else if (r.status == 0 && tries < 2) {
+                // May have happened. The same write again is harmless: it creates or
+                // finds the job.
+                create(request, id, record, tries + 1);
+            } else {
+                refuse(request, 503, "the state service does not answer");
+            }
+        });
 }
 
 void UserRequests::cancel(Ms now, const CancelRequest& q) {
--- a/src/coordination/user_requests.hpp
+++ b/src/coordination/user_requests.hpp
@@ -31,7 +31,7 @@
     // Empty: it can run. Otherwise why it never can.
     std::string judge(SubmitRequest& request);
     void refuse_for_good(Ms now, RequestId request, const std::string& id, const std::string& why);
-    void create(Ms now, RequestId request, JobSpec spec, int tries);
+    void create(RequestId request, const std::string& id, Json record, int tries);
     void try_cancel(Ms now, RequestId request, const std::string& id, int tries);
     bool is_open(RequestId request) const { return open_.count(request) != 0; }
 
--- a/tests/standin/test_support.hpp
+++ b/tests/standin/test_support.hpp
@@ -6,6 +6,7 @@
 
 #include <cstdlib>
 #include <string>
+#include <vector>
 
 #include "standin/world.hpp"
 
@@ -28,4 +29,20 @@
     return text;
 }
 
+// The seeds to search, SEEDS=from:to in the environment; none without it.
+inline std::vector<std::uint64_t> seeds_to_search() {
+    const char* range = std::getenv("SEEDS");
+    if (!range) {
+        return {};
+    }
+    char* rest = nullptr;
+    std::uint64_t from = std::strtoull(range, &rest, 10);
+    std::uint64_t to = *rest == ':' ? std::strtoull(rest + 1, nullptr, 10) : from;
+    std::vector<std::uint64_t> seeds;
+    for (std::uint64_t seed = from; seed <= to; ++seed) {
+        seeds.push_back(seed);
+    }
+    return seeds;
+}
+
 }  // namespace walkford::standin
--- a/tests/world_test.cpp
+++ b/tests/world_test.cpp
@@ -211,12 +211,9 @@
 // For a longer search by hand: SEEDS=from:to world_test --gtest_also_run_disabled_tests
 //     --gtest_filter=DISABLED_Search.*
 TEST(DISABLED_Search, AllTroublesTogether) {
-    const char* range = std::getenv("SEEDS");
-    ASSERT_NE(range, nullptr);
-    char* rest = nullptr;
-    std::uint64_t from = std::strtoull(range, &rest, 10);
-    std::uint64_t to = *rest == ':' ? std::strtoull(rest + 1, nullptr, 10) : from;
-    for (std::uint64_t seed = from; seed <= to; ++seed) {
+    std::vector<std::uint64_t> seeds = seeds_to_search();
+    ASSERT_FALSE(seeds.empty());
+    for (std::uint64_t seed : seeds) {
         World w(troubled({}, seed));
         w.run();
         EXPECT_TRUE(w.violations.empty()) << "seed " << seed << all(w);
