--- a/src/coordination/placer.cpp
+++ b/src/coordination/placer.cpp
@@ -19,7 +19,7 @@
 constexpr std::size_t kMostLooked = 400000;
 constexpr int kMostPreemptions = 8;  // jobs that look for work to stop, in one go
 constexpr Ms kMoveReplicasAfter = 60000;
-constexpr Ms kShapeKept = 600000;    // a class not seen for so long is not kept room for
+constexpr Ms kShapeKept = 600000;  // a class not seen for so long is not kept room for
 // Placements not yet written are bounded: more would only wait for the state service.
 constexpr std::uint32_t kMostPerJob = 256;
 }  // namespace
--- a/src/coordination/registry_store.cpp
+++ b/src/coordination/registry_store.cpp
@@ -100,21 +100,31 @@
     });
 }
 
+bool RegistryStore::has_room_for(const Part& part, const HeldMachine& machine) const {
+    std::size_t needed = kMachineBytes + (has_row_for(part, machine) ? 0 : kRowBytes);
+    return part.machines.empty() || part.bytes + needed <= part_limit();
+}
+
 // The part that the machine goes to; one that does not exist yet where none has room.
-std::uint32_t RegistryStore::part_for(const HeldMachine& machine) const {
+std::uint32_t RegistryStore::part_for(const HeldMachine& machine) {
     if (!divided()) {
         return 0;
     }
     std::uint32_t unused = 1;
-    for (const auto& [index, part] : parts_) {
+    for (auto& [index, part] : parts_) {
         if (index == 0) {
             continue;
         }
-        if (part.bytes + kMachineBytes + kRowBytes <= part_limit() || part.machines.empty()) {
+        if (has_room_for(part, machine)) {
             return index;
         }
-        if (has_row_for(part, machine) && part.bytes + kMachineBytes <= part_limit()) {
-            return index;
+        // What was added since it was last encoded was counted at its most.
+        if (part.estimated) {
+            part.bytes = encode(index).dump().size();
+            part.estimated = false;
+            if (has_room_for(part, machine)) {
+                return index;
+            }
         }
         unused = std::max(unused, index + 1);
     }
@@ -129,6 +139,7 @@
     part_of_[machine.name] = index;
     Part& part = parts_[index];
     part.bytes += kMachineBytes + (has_row_for(part, machine) ? 0 : kRowBytes);
+    part.estimated = true;
     part.machines[machine.name] = machine;
     touch(index);
 }
@@ -152,13 +163,24 @@
     touch(known->second);
 }
 
+// Under lower limits to come, a value that is too large is divided before they are in force; a
+// division that an earlier leader began is completed.
+bool RegistryStore::must_divide() const {
+    const Part& first = parts_.at(0);
+    if (first.machines.empty() || !may_divide()) {
+        return false;
+    }
+    std::size_t limit = term_.core.state.limits().value_bytes();
+    return divided() || (first.bytes > limit && encode(0).dump().size() > limit);
+}
+
 // Moves every machine out of the first value.
 void RegistryStore::divide() {
     std::map<std::string, HeldMachine> all = std::move(parts_[0].machines);
     parts_[0].machines.clear();
     parts_[1];
-    part_of_.clear();
     for (const auto& [name, machine] : all) {
+        part_of_.erase(name);
         add_machine(machine);
     }
     touch(0);
@@ -240,9 +262,7 @@
     if (writing_ || now < write_at_) {
         return;
     }
-    // Under lower limits to come, a value that is too large is divided before they are in force.
-    if (!divided() && may_divide() && parts_[0].bytes > term_.core.state.limits().value_bytes() &&
-        encode(0).dump().size() > term_.core.state.limits().value_bytes()) {
+    if (must_divide()) {
         divide();
     }
     std::vector<std::uint32_t> due;
@@ -271,6 +291,7 @@
         Part& part = parts_[index];
         Json value = encode(index);
         part.bytes = value.dump().size();
+        part.estimated = false;
         bytes += part.bytes;
         if (bytes > kMostTxnBytes && !sent.empty()) {
             break;
--- a/src/coordination/registry_store.hpp
+++ b/src/coordination/registry_store.hpp
@@ -48,10 +48,11 @@
     struct Part {
         std::map<std::string, HeldMachine> machines;
         std::uint64_t stamp = 0;
-        std::size_t bytes = 0;  // as last encoded, and what was added since
-        Version changed = 0;    // the first change that is not sent yet; 0: none
-        Version in_flight = 0;  // ... that is sent, but not answered
-        bool dropping = false;  // what is in flight takes its key away
+        std::size_t bytes = 0;   // as last encoded, and what was added since
+        bool estimated = false;  // ... so that it may be less
+        Version changed = 0;     // the first change that is not sent yet; 0: none
+        Version in_flight = 0;   // ... that is sent, but not answered
+        bool dropping = false;   // what is in flight takes its key away
     };
     struct Waiting {
         Version version = 0;
@@ -61,10 +62,12 @@
     void touch(std::uint32_t part);
     bool divided() const { return parts_.size() > 1; }
     bool may_divide() const;
+    bool must_divide() const;
     void divide();
     std::size_t part_limit() const;
     static bool has_row_for(const Part& part, const HeldMachine& machine);
-    std::uint32_t part_for(const HeldMachine& machine) const;
+    bool has_room_for(const Part& part, const HeldMachine& machine) const;
+    std::uint32_t part_for(const HeldMachine& machine);
     Json encode(std::uint32_t part) const;
     std::size_t first_value_bytes() const;
     Version durable() const;
--- a/tests/protocol_test.cpp
+++ b/tests/protocol_test.cpp
@@ -43,6 +43,20 @@
     EXPECT_FALSE(q.zone_named);
 }
 
+// A service has no end that could be estimated, whatever its user guessed.
+TEST(Wire, ReadsAService) {
+    Json body = good_job();
+    body["shape"] = "service";
+    body["guessS"] = 30.0;
+    auto arrival = parse_request(7, Method::post, "/work", pack(body));
+    auto* input = std::get_if<Input>(&arrival);
+    ASSERT_TRUE(input);
+    const auto& q = std::get<SubmitRequest>(*input);
+    EXPECT_EQ(q.spec.shape, JobShape::service);
+    EXPECT_DOUBLE_EQ(q.spec.estimate_s, 0);
+    EXPECT_EQ(q.spec.needed_at_once(), q.spec.tasks);
+}
+
 TEST(Wire, EveryFieldIsLookedAt) {
     const Json whole = good_job();
     for (const auto& [field, value] : whole.items()) {
@@ -245,6 +259,33 @@
     EXPECT_EQ(notes.size(), 1U);  // the objective of unknown kind
 }
 
+// The limits to come: what is absent stays as it is; what can't be is named by its field.
+TEST(Settings, LimitsToComeAreRead) {
+    std::vector<std::string> notes;
+    Json s = good_settings();
+    EXPECT_FALSE(read_platform(s.dump(), notes).next_state_limits);
+    s["params"]["state"]["next"] = Json{{"write_rps", 18.0}, {"value_kb", 2.0}, {"unheard_of", 1}};
+    Platform p = read_platform(s.dump(), notes);
+    ASSERT_TRUE(p.next_state_limits);
+    EXPECT_DOUBLE_EQ(p.next_state_limits->writes_per_s, 18);
+    EXPECT_DOUBLE_EQ(p.next_state_limits->value_kb, 2);
+    EXPECT_EQ(p.next_state_limits->txn_ops, 8U);
+    EXPECT_DOUBLE_EQ(p.next_state_limits->requests_per_s, 200);
+    EXPECT_DOUBLE_EQ(p.state_limits.value_kb, 4);
+    const std::vector<std::pair<Json, std::string>> bad{
+        {Json{{"value_kb", 0}}, "params.state.next.value_kb"},
+        {Json{{"value_kb", -2.0}}, "params.state.next.value_kb"},
+        {Json{{"txn_ops", 2}}, "params.state.next.txn_ops"},
+        {Json{{"write_rps", "18"}}, "params.state.next.write_rps"},
+        {Json{{"rps", 0}}, "params.state.next.rps"},
+        {Json::array(), "params.state.next"},
+    };
+    for (const auto& [next, field] : bad) {
+        s["params"]["state"]["next"] = next;
+        EXPECT_NE(refusal(s.dump()).find(field), std::string::npos) << next << refusal(s.dump());
+    }
+}
+
 // Less than the deployment needs is served with what there is, and said in one line each.
 TEST(Settings, FewSocketsAndLittleMemoryAreSaid) {
     std::vector<std::string> notes;
