--- a/src/bookkeeping/cluster_state.cpp
+++ b/src/bookkeeping/cluster_state.cpp
@@ -148,6 +148,21 @@
     return chunk_of(ref).tasks.at(ref.task % jobs[ref.job].spec.chunk);
 }
 
+int ClusterState::images_on_their_way(const Machine& machine) {
+    std::vector<Id> images;
+    for (TaskRef ref : machine.tasks) {
+        const Task& t = task(ref);
+        bool fetches =
+            t.state == TaskState::pulling || t.phase == Phase::placed || t.phase == Phase::sent;
+        Id image = jobs[ref.job].spec.image;
+        if (fetches && image != kNone &&
+            std::find(images.begin(), images.end(), image) == images.end()) {
+            images.push_back(image);
+        }
+    }
+    return static_cast<int>(images.size());
+}
+
 void ClusterState::place(TaskRef ref, Id machine, std::uint32_t attempt, Ms now) {
     Job& j = jobs[ref.job];
     Task& t = task(ref);
--- a/src/bookkeeping/cluster_state.hpp
+++ b/src/bookkeeping/cluster_state.hpp
@@ -203,6 +203,9 @@
     Chunk& chunk_of(TaskRef ref);
     Chunk& chunk(Id job, std::uint32_t index);
 
+    // How many images the machine fetches, or is about to.
+    int images_on_their_way(const Machine& machine);
+
     // The task is on the machine from now on, in the cluster state; the attempt rises.
     void place(TaskRef ref, Id machine, std::uint32_t attempt, Ms now);
     // The task is proven not to be on its machine any more.
--- a/src/bookkeeping/records.hpp
+++ b/src/bookkeeping/records.hpp
@@ -22,6 +22,8 @@
 inline const std::string kRegistryParts = "w/m/";
 inline const std::string kAnnouncements = "w/v/";
 inline const std::string kRelays = "w/r/";
+inline const std::string kZoneRecords = "w/z/";
+inline std::string zone_record(const std::string& zone) { return kZoneRecords + zone; }
 inline std::string relay(const std::string& node) { return kRelays + node; }
 inline std::string announcement(const std::string& node) { return kAnnouncements + node; }
 // Part 0 is the registry's first value, which is all there is while that one holds it.
--- a/src/bookkeeping/types.hpp
+++ b/src/bookkeeping/types.hpp
@@ -147,9 +147,10 @@
 };
 
 // Levels of what a version can read (docs/design.md, "Two versions side by side").
-inline constexpr std::uint32_t kFeatureNone = 0;      // version 0.3.0 and before
-inline constexpr std::uint32_t kFeatureServices = 1;  // services, the registry in parts
-inline constexpr std::uint32_t kFeatureNewest = kFeatureServices;
+inline constexpr std::uint32_t kFeatureNone = 0;          // version 0.3.0 and before
+inline constexpr std::uint32_t kFeatureServices = 1;      // services, the registry in parts
+inline constexpr std::uint32_t kFeatureZoneFailover = 2;  // records of failing zones
+inline constexpr std::uint32_t kFeatureNewest = kFeatureZoneFailover;
 
 enum class JobStatus : std::uint8_t { pending, running, done, cancelled };
 
--- a/src/bookkeeping/view.cpp
+++ b/src/bookkeeping/view.cpp
@@ -66,6 +66,9 @@
     if (starts(key, keys::kAnnouncements)) {
         return apply_announcement(row);
     }
+    if (starts(key, keys::kZoneRecords)) {
+        return apply_zone_record(row);
+    }
     if (auto part = keys::parse_registry_part(key)) {
         return apply_registry_part(row, *part);
     }
@@ -143,6 +146,20 @@
     return true;
 }
 
+bool View::apply_zone_record(const StateRow& row) {
+    std::string zone = row.key.substr(keys::kZoneRecords.size());
+    auto known = zone_records.find(zone);
+    if (known != zone_records.end() && row.stamp <= known->second.stamp) {
+        return false;
+    }
+    if (row.value) {
+        zone_records[zone] = {*row.value, row.stamp};
+    } else if (known != zone_records.end()) {
+        zone_records.erase(known);
+    }
+    return true;
+}
+
 void View::count_relay_change(const Relay& relay) {
     if (relay.record) {
         ++relay_changes_[relay.record->zone];
@@ -224,6 +241,12 @@
             gone.push_back(key);
         }
     }
+    for (const auto& [zone, record] : zone_records) {
+        std::string key = keys::zone_record(zone);
+        if (record.stamp <= revision && !seen_.count(key)) {
+            gone.push_back(key);
+        }
+    }
     if (leader_stamp && leader_stamp <= revision && !seen_.count(keys::kLeader)) {
         gone.push_back(keys::kLeader);
     }
@@ -244,6 +267,8 @@
     } else if (starts(key, keys::kRelays)) {
         relays.erase(key.substr(keys::kRelays.size()));
         ++relay_changes_anywhere_;
+    } else if (starts(key, keys::kZoneRecords)) {
+        zone_records.erase(key.substr(keys::kZoneRecords.size()));
     } else if (auto part = keys::parse_registry_part(key)) {
         registry_parts.erase(*part);
     } else if (auto parsed = keys::parse_chunk(key)) {
--- a/src/bookkeeping/view.hpp
+++ b/src/bookkeeping/view.hpp
@@ -72,6 +72,8 @@
         std::uint64_t stamp = 0;
     };
     std::map<std::string, Relay> relays;  // by controller
+    // What leaders keep of zones that failed, by zone.
+    std::map<std::string, StoredValue> zone_records;
     // Does a controller answer the workers of the zone in the leader's place?
     bool relayed(const std::string& zone) const;
     // Rises with each beginning and end of such a record; also of one that has come and gone.
@@ -84,6 +86,7 @@
     bool apply_ended(const StateRow& row);
     bool apply_registry_part(const StateRow& row, std::uint32_t part);
     bool apply_relay(const StateRow& row);
+    bool apply_zone_record(const StateRow& row);
     void count_relay_change(const Relay& relay);
     bool apply_announcement(const StateRow& row);
     bool apply_chunk(const StateRow& row, const std::string& id, std::uint32_t index);
--- a/src/coordination/cloud_manager.cpp
+++ b/src/coordination/cloud_manager.cpp
@@ -75,6 +75,12 @@
         [&](const RentalRequest& h) { return h.kind == kind && h.zone == zone && h.spot == spot; });
 }
 
+bool CloudManager::refused_lately(Id zone, Ms now) const {
+    return std::any_of(refused_.begin(), refused_.end(), [&](const auto& entry) {
+        return std::get<1>(entry.first) == zone && now < entry.second.until;
+    });
+}
+
 bool CloudManager::rent(Ms now, Id kind, Id zone, bool spot, std::uint32_t count, bool permanent,
                         const std::string& why) {
     if (!can_rent(kind, zone, spot, now) || count == 0) {
--- a/src/coordination/cloud_manager.hpp
+++ b/src/coordination/cloud_manager.hpp
@@ -21,6 +21,8 @@
     void give_back(Ms now, Id machine, const char* why);
 
     bool can_rent(Id kind, Id zone, bool spot, Ms now) const;
+    // The cloud has refused a rental in the zone, and is not asked again yet.
+    bool refused_lately(Id zone, Ms now) const;
     bool known() const { return loaded_; }
     const std::vector<RentalRequest>& rentals() const { return registry_.rentals(); }
     bool first_rented() const;
--- a/src/coordination/leader.cpp
+++ b/src/coordination/leader.cpp
@@ -128,8 +128,9 @@
       lifecycle_(term_),
       cloud_(term_, lifecycle_),
       workers_(term_, lifecycle_),
-      placer_(term_, lifecycle_),
-      scaler_(term_) {
+      zone_failover_(term_),
+      placer_(term_, lifecycle_, zone_failover_),
+      scaler_(term_, zone_failover_) {
     ClusterState& cluster = term_.cluster;
     cluster.set_kinds(core.kinds);
     if (core.policy.place_order == "aim") {
@@ -218,6 +219,7 @@
         settle_at_ = now + 100;
         settle_jobs(now);
     }
+    zone_failover_.tick(now, workers_, cloud_);
     if (term_.act) {
         placer_.round(now, workers_);
         scaler_.tick(now, workers_, cloud_);
@@ -226,27 +228,49 @@
     workers_.answer_held(now, placer_.rounds());
 }
 
-void Leader::write_chunks(Ms now) {
+bool Leader::write_due(Ms now, Id job, std::uint32_t index) {
     ClusterState& cluster = term_.cluster;
-    std::vector<std::pair<Id, std::uint32_t>> due;
-    for (const auto& [job, index] : cluster.dirty) {
-        if (writes_open_ + due.size() >= kMostWritesOpen) {
-            break;
-        }
-        const Job& j = cluster.jobs[job];
-        if (!j.alive || j.ending) {
-            continue;
-        }
-        // The final record makes this one needless.
-        if (j.done == j.spec.tasks || (j.cancelled && j.placed == 0)) {
-            continue;
+    const Job& j = cluster.jobs[job];
+    if (!j.alive || j.ending) {
+        return false;
+    }
+    // The final record makes this one needless.
+    if (j.done == j.spec.tasks || (j.cancelled && j.placed == 0)) {
+        return false;
+    }
+    const Chunk& c = cluster.chunk(job, index);
+    return !c.in_flight && now >= c.retry_at;
+}
+
+std::vector<Leader::ChunkRef> Leader::chunks_due(Ms now) {
+    const auto& dirty = term_.cluster.dirty;
+    std::vector<ChunkRef> due;
+    auto full = [&] { return writes_open_ + due.size() >= kMostWritesOpen; };
+    auto take = [&](const ChunkRef& chunk) {
+        if (write_due(now, chunk.first, chunk.second)) {
+            due.push_back(chunk);
         }
-        const Chunk& c = cluster.chunk(job, index);
-        if (c.in_flight || now < c.retry_at) {
-            continue;
+    };
+    if (!zone_failover_.evacuating()) {
+        for (auto it = dirty.begin(); it != dirty.end() && !full(); ++it) {
+            take(*it);
         }
-        due.emplace_back(job, index);
+        return due;
+    }
+    // The state service's write rate is the narrowest part: displaced work goes in its order.
+    std::vector<ChunkRef> ordered(dirty.begin(), dirty.end());
+    std::stable_sort(ordered.begin(), ordered.end(), [this](const auto& a, const auto& b) {
+        return zone_failover_.rank(a.first) < zone_failover_.rank(b.first);
+    });
+    for (auto it = ordered.begin(); it != ordered.end() && !full(); ++it) {
+        take(*it);
     }
+    return due;
+}
+
+void Leader::write_chunks(Ms now) {
+    ClusterState& cluster = term_.cluster;
+    std::vector<ChunkRef> due = chunks_due(now);
     // A placement tried and taken back leaves nothing to write.
     std::erase_if(due, [&](const auto& d) {
         if (!cluster.durable(d.first, d.second)) {
--- a/src/coordination/leader.hpp
+++ b/src/coordination/leader.hpp
@@ -7,6 +7,7 @@
 #include "coordination/placer.hpp"
 #include "coordination/scaler.hpp"
 #include "coordination/worker_manager.hpp"
+#include "coordination/zone_failover_manager.hpp"
 
 namespace walkford {
 
@@ -30,6 +31,8 @@
     Work work;
     std::function<void(Ms, const char*)> depose;
     std::function<void(Ms)> refresh;  // asks for a proven view
+    // Was the peer with that index heard within the span?
+    std::function<bool(Ms now, std::size_t peer, Ms span)> peer_heard;
     // Calls that outlive the term find this gone.
     std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 
@@ -89,6 +92,10 @@
     Term& term() { return term_; }
 
   private:
+    using ChunkRef = std::pair<Id, std::uint32_t>;  // a job, and a placement record of it
+    bool write_due(Ms now, Id job, std::uint32_t index);
+    // The placement records to be written now, as many as may be open.
+    std::vector<ChunkRef> chunks_due(Ms now);
     void write_chunks(Ms now);
     void write_chunk(Ms now, Id job, std::uint32_t index);
     void settle_jobs(Ms now);
@@ -99,6 +106,7 @@
     TaskLifecycle lifecycle_;
     CloudManager cloud_;
     WorkerManager workers_;
+    ZoneFailoverManager zone_failover_;
     Placer placer_;
     Scaler scaler_;
     std::size_t writes_open_ = 0;
--- a/src/coordination/node.cpp
+++ b/src/coordination/node.cpp
@@ -57,6 +57,9 @@
                 depose_now_ = true;
                 deposed_why_ = why;
             };
+            leader_->term().peer_heard = [this](Ms when, std::size_t peer, Ms span) {
+                return peers_.at(peer).heard_within(when, span);
+            };
             leader_->term().refresh = [this](Ms when) { keeper_.barrier(when, [](Ms, bool) {}); };
             set_rights(at);
         });
--- a/src/coordination/placer.cpp
+++ b/src/coordination/placer.cpp
@@ -25,15 +25,21 @@
 // would let the lowest wait for ever while higher work keeps coming. The rest of one that has begun
 // waits by its own priority: under several times the usual load the arrays begun first took every
 // place for the rest of the day, and less than half of their class ever began.
-int Placer::risen(const Job& j, Ms now, double rise_s) {
+int Placer::risen(const Job& j, Ms since, Ms now, double rise_s) {
     int own = static_cast<int>(j.spec.priority);
     if (rise_s <= 0 || j.placed > 0 || j.done > 0) {
         return own;
     }
-    return std::clamp(own + static_cast<int>((now - j.waiting_since) / to_ms(rise_s)), own, 4);
+    return std::clamp(own + static_cast<int>((now - since) / to_ms(rise_s)), own, 4);
 }
 
-std::vector<Id> Placer::waiting_order(const ClusterState& cluster, Ms now, double rise_s) {
+int Placer::risen(Id job) const {
+    return risen(term_.cluster.jobs[job], zone_failover_.waits_since(job), now_,
+                 term_.core.policy.rise_s);
+}
+
+std::vector<Id> Placer::waiting_order(const ClusterState& cluster, Ms now, double rise_s,
+                                      const ZoneFailoverManager& zone_failover) {
     std::vector<Id> order;
     for (Id id = 0; id < cluster.jobs.size(); ++id) {
         const Job& j = cluster.jobs[id];
@@ -41,44 +47,33 @@
             order.push_back(id);
         }
     }
-    // Guarantee demand goes before borrowed of the same priority; then age.
-    std::vector<std::tuple<int, int, Ms, std::uint64_t, Id>> ranked;
+    // Within a priority displaced work goes first, by its class; then guarantee demand before
+    // borrowed; then age.
+    std::vector<std::tuple<int, int, int, Ms, std::uint64_t, Id>> ranked;
     ranked.reserve(order.size());
     for (Id id : order) {
         const Job& j = cluster.jobs[id];
-        ranked.emplace_back(-risen(j, now, rise_s),
-                            cluster.within_guarantee(j.spec.team, j.spec.each) ? 0 : 1, j.start_by,
-                            j.born, id);
+        ranked.emplace_back(
+            -risen(j, zone_failover.waits_since(id), now, rise_s), zone_failover.rank(id),
+            cluster.within_guarantee(j.spec.team, j.spec.each) ? 0 : 1, j.start_by, j.born, id);
     }
     std::sort(ranked.begin(), ranked.end());
     for (std::size_t i = 0; i < order.size(); ++i) {
-        order[i] = std::get<4>(ranked[i]);
+        order[i] = std::get<5>(ranked[i]);
     }
     return order;
 }
 
-int Placer::fetching(const Machine& m) const {
-    const ClusterState& cluster = term_.cluster;
-    std::vector<Id> images;
-    for (TaskRef ref : m.tasks) {
-        const Task& t = term_.cluster.task(ref);
-        if (t.state == TaskState::pulling || t.phase == Phase::placed || t.phase == Phase::sent) {
-            Id image = cluster.jobs[ref.job].spec.image;
-            if (image != kNone && std::find(images.begin(), images.end(), image) == images.end()) {
-                images.push_back(image);
-            }
-        }
-    }
-    return static_cast<int>(images.size());
-}
-
 // Takes a task into the cluster state; keeps the round's own view right.
 void Placer::put(TaskRef ref, Id machine, std::uint32_t attempt, Ms now) {
     ClusterState& cluster = term_.cluster;
     const Machine& m = cluster.machines[machine];
-    const Amounts& each = cluster.jobs[ref.job].spec.each;
-    classes_.take(m, each);
+    const JobSpec& s = cluster.jobs[ref.job].spec;
+    classes_.take(m, s.each);
+    EvacuationReserve::Place place{m.kind, m.zone, m.spot, cluster.kind(m.kind)->size - m.used};
+    bool cold = s.image != kNone && m.images.count(s.image) == 0;
     cluster.place(ref, machine, attempt, now);
+    zone_failover_.placed(ref.job, place, cold);
     rooms_.update(cluster, machine);
 }
 
@@ -88,9 +83,10 @@
     return !s.starts_together() && s.estimate_s > 0 && now_ + to_ms(span) <= m.kept_ready;
 }
 
-bool Placer::admits(const Job& job, const FreeCapacity::Sort& sort) const {
+bool Placer::admits(Id id, const FreeCapacity::Sort& sort) const {
+    const Job& job = term_.cluster.jobs[id];
     const JobSpec& s = job.spec;
-    if (!FreeCapacity::allowed(s, sort)) {
+    if (!FreeCapacity::allowed(s, sort) || !zone_failover_.admits(id, sort.zone)) {
         return false;
     }
     if (s.one_zone && !job.zones.empty() && job.zones.begin()->first != sort.zone) {
@@ -103,6 +99,18 @@
     return it == job.zones.end() || it->second < s.zone_most();
 }
 
+bool Placer::held_by_failover(Id id, const FreeCapacity::Sort& sort, const FreeCapacity::Room& room,
+                              bool cold) const {
+    if (!zone_failover_.restricts()) {
+        return false;
+    }
+    int fetches = term_.cluster.images_on_their_way(term_.cluster.machines[room.machine]);
+    if (cold && !zone_failover_.admits_fetch(sort.zone, fetches)) {
+        return true;
+    }
+    return zone_failover_.reserved(id, risen(id), {sort.kind, sort.zone, sort.spot, room.free});
+}
+
 // The order in which machines are tried: where this job hasn't failed, where the task starts
 // soonest and other classes lose least room, spot first for those who may, then the fullest.
 std::optional<Placer::Score> Placer::score(Id job_id, const FreeCapacity::Sort& sort,
@@ -110,15 +118,19 @@
     const ClusterState& cluster = term_.cluster;
     const Job& job = cluster.jobs[job_id];
     const JobSpec& s = job.spec;
-    if (!s.each.fits_in(room.free) || !admits(job, sort)) {
+    if (!s.each.fits_in(room.free) || !admits(job_id, sort)) {
         return std::nullopt;
     }
     const Machine& m = cluster.machines[room.machine];
     const Kind* kind = cluster.kind(m.kind);
     double fetch = 0;
-    if (s.image != kNone && !m.images.count(s.image) && kind->fetch_gb_per_s > 0) {
+    bool cold = s.image != kNone && !m.images.count(s.image);
+    if (cold && kind->fetch_gb_per_s > 0) {
         // Images fetched at the same time share the rate.
-        fetch = s.image_gb / kind->fetch_gb_per_s * (1 + fetching(m));
+        fetch = s.image_gb / kind->fetch_gb_per_s * (1 + term_.cluster.images_on_their_way(m));
+    }
+    if (held_by_failover(job_id, sort, room, cold)) {
+        return std::nullopt;
     }
     if (m.kept_for != job_id) {
         if (m.kept_for != kNone && !over_in_time(s, m, fetch)) {
@@ -153,7 +165,7 @@
         if (zone_only != kNone && sort.zone != zone_only) {
             continue;
         }
-        if (!job.spec.each.fits_in(sort.most) || !placer.admits(job, sort)) {
+        if (!job.spec.each.fits_in(sort.most) || !placer.admits(job_id, sort)) {
             continue;
         }
         placer.looked_ += sort.rooms.size();
@@ -278,7 +290,7 @@
         if ((zone != kNone && sort.zone != zone) || !s.each.fits_in(sort.most)) {
             continue;
         }
-        if (!FreeCapacity::allowed(s, sort)) {
+        if (!FreeCapacity::allowed(s, sort) || !zone_failover_.admits(id, sort.zone)) {
             continue;
         }
         looked_ += sort.rooms.size();
@@ -397,7 +409,7 @@
         }
     }
     if (cursor_ >= order_.size()) {
-        order_ = waiting_order(cluster, now, term_.core.policy.rise_s);
+        order_ = waiting_order(cluster, now, term_.core.policy.rise_s, zone_failover_);
         cursor_ = 0;
         blocked_.clear();
         gathering_ = 0;
@@ -405,6 +417,12 @@
     now_ = now;
     rooms_.build(cluster, usable);
     classes_.count(now, rooms_);
+    zone_failover_.begin_round(now, rooms_);
+    if (zone_failover_.restricts()) {
+        // Nothing is gathered or stopped in a zone that work comes back to slowly.
+        std::erase_if(usable,
+                      [&](Id id) { return !zone_failover_.open(cluster.machines[id].zone); });
+    }
     // The budget keeps heartbeats and leases answered in time when thousands of jobs wait.
     auto deadline = term_.core.stopwatch() + to_ms(term_.core.policy.round_budget_ms);
     looked_ = 0;
@@ -436,7 +454,7 @@
     // take every bit of it that frees up, and a large one would starve.
     const JobSpec& s = j.spec;
     // What it has risen to it keeps, or it would be stopped again as soon as it began.
-    j.rank = std::max(j.rank, risen(j, now, policy.rise_s));
+    j.rank = std::max(j.rank, risen(id));
     if (s.gang() && j.placed > 0) {
         // Not kept back by who waits for the limit: that one may be waiting for what this gang
         // holds, and the two would wait for each other for ever.
@@ -449,6 +467,9 @@
     if ((s.each.cpus > 0 && rank <= blocked.cpus) || (s.each.gpus > 0 && rank <= blocked.gpus)) {
         return;
     }
+    if (cluster.limit_room(s.team, s.each) < least && zone_failover_.waits_for_zone(id)) {
+        return;  // it could not begin anyway, and keeps nobody back
+    }
     if (cluster.limit_room(s.team, s.each) < least) {
         bool cpus = cluster.limit_room(s.team, {s.each.cpus, 0, 0}) < least;
         bool gpus = cluster.limit_room(s.team, {0, s.each.gpus, 0}) < least;
--- a/src/coordination/placer.hpp
+++ b/src/coordination/placer.hpp
@@ -8,6 +8,7 @@
 #include "coordination/gang_reservation.hpp"
 #include "coordination/preemption.hpp"
 #include "coordination/term_fwd.hpp"
+#include "coordination/zone_failover_manager.hpp"
 
 namespace walkford {
 
@@ -15,9 +16,10 @@
 
 class Placer {
   public:
-    Placer(Term& term, TaskLifecycle& lifecycle)
+    Placer(Term& term, TaskLifecycle& lifecycle, ZoneFailoverManager& zone_failover)
         : term_(term),
           lifecycle_(lifecycle),
+          zone_failover_(zone_failover),
           gatherer_(term, lifecycle),
           classes_(term),
           preemption_(term, lifecycle, classes_) {}
@@ -28,9 +30,11 @@
     // How many times all waiting jobs were gone through.
     std::uint64_t rounds() const { return rounds_; }
 
+    // Its priority, raised by waiting; `since`: from when its waiting counts.
+    static int risen(const Job& j, Ms since, Ms now, double rise_s);
     // The waiting jobs in the order in which they are served.
-    static int risen(const Job& j, Ms now, double rise_s);
-    static std::vector<Id> waiting_order(const ClusterState& cluster, Ms now, double rise_s);
+    static std::vector<Id> waiting_order(const ClusterState& cluster, Ms now, double rise_s,
+                                         const ZoneFailoverManager& zone_failover);
 
   private:
     using Score = std::tuple<int, double, int, double, Id>;
@@ -56,18 +60,22 @@
         std::vector<Entry> heap_;
     };
 
+    // `usable`: the machines that room may be gathered on.
     void place_job(Ms now, Id job, const std::vector<Id>& usable);
     std::uint32_t place_batch(Ms now, Id job);
     void replace_members(Ms now, Id job);
     bool place_gang(Ms now, Id job);
     void put(TaskRef ref, Id machine, std::uint32_t attempt, Ms now);
     // May a task of the job go there, as the job's other tasks stand; and how good a place it is.
-    bool admits(const Job& job, const FreeCapacity::Sort& sort) const;
+    bool admits(Id job, const FreeCapacity::Sort& sort) const;
     std::optional<Score> score(Id job, const FreeCapacity::Sort& sort,
                                const FreeCapacity::Room& room) const;
     // How many tasks of the gang the zone (kNone: any) has room for; no further than it has tasks.
     std::uint32_t places(Id job, Id zone) const;
-    int fetching(const Machine& m) const;  // images on their way to it
+    // What zone failover says of it: the place is kept for others, or too many images are fetched.
+    bool held_by_failover(Id job, const FreeCapacity::Sort& sort, const FreeCapacity::Room& room,
+                          bool cold) const;
+    int risen(Id job) const;
     // The best that a place can be, known without a look at the machine's tasks and images.
     static Score least_score(const Job& job, const FreeCapacity::Sort& sort,
                              const FreeCapacity::Room& room);
@@ -76,6 +84,7 @@
 
     Term& term_;
     TaskLifecycle& lifecycle_;
+    ZoneFailoverManager& zone_failover_;
     GangReservation gatherer_;
     ClassCapacity classes_;
     Preemption preemption_;
--- a/src/coordination/policy.hpp
+++ b/src/coordination/policy.hpp
@@ -7,6 +7,7 @@
 
 #include "bookkeeping/types.hpp"
 #include "coordination/state_limits.hpp"
+#include "coordination/zone_failover/settings.hpp"
 
 namespace walkford {
 
@@ -42,11 +43,13 @@
     double gather_after_s = 2;
     double opportunity_cost_s = 20;
     std::string place_order = "aim";  // aim | age
+    ZoneFailoverSettings zone_failover;
 };
 
 struct Peer {
     std::string name;
     std::string address;
+    std::string zone = {};  // empty: not known
 };
 
 // An aim on starting: tasks of the class are to start within so many seconds.
@@ -67,6 +70,7 @@
     std::vector<Team> teams;
     std::vector<std::string> zones;
     std::vector<WaitAim> wait_aims;
+    std::vector<std::string> classes;  // that objectives name
     double report_s = 2;
     double lease_s = 10;
     double gang_wait_s = 30;
--- a/src/coordination/scaler.cpp
+++ b/src/coordination/scaler.cpp
@@ -6,6 +6,7 @@
 #include <cmath>
 
 #include "coordination/leader.hpp"
+#include "coordination/zone_failover_manager.hpp"
 
 namespace walkford {
 
@@ -21,7 +22,7 @@
 
 bool Scaler::back_soon(const Machine& m, Ms now) const {
     return m.held && m.reported && !m.gone && !m.returning && !m.sick && m.notice_until < 0 &&
-           m.cloud != CloudStatus::failed && m.unheard == 0 &&
+           m.cloud != CloudStatus::failed && m.unheard == 0 && !zone_failover_.lost(m.zone) &&
            (term_.relayed(m) ||
             now < m.last_heartbeat + to_ms(term_.core.platform.lease_s) + kBackWithin);
 }
@@ -45,6 +46,7 @@
     const Policy& policy = term_.core.policy;
     rooms_.clear();
     held_.clear();
+    machines_of_.clear();
     measure_ = {};
     bool together = many_silent(now, workers);
     for (Id id = 0; id < cluster.machines.size(); ++id) {
@@ -56,6 +58,8 @@
         ++held_[{m.kind, m.zone}];
         measure_.booked += m.used;
         bool up = workers.usable(m, now);
+        machines_of_[m.zone].reporting += up;
+        machines_of_[m.zone].on_their_way += !m.reported && !m.returning;
         // One on its way counts as capacity, or the rule rents twice; one that is late does not.
         bool booting = !m.reported && !m.returning &&
                        now < m.rented_at + to_ms(kind->boot_s * policy.boot_late) + 3000;
@@ -75,6 +79,7 @@
             continue;
         }
         measure_.capacity += kind->size * h.count;
+        machines_of_[h.zone].on_their_way += h.count;
         for (std::uint32_t i = 0; i < h.count; ++i) {
             rooms_.push_back({kind->size, h.kind, h.zone, kNone, h.spot, false});
         }
@@ -84,8 +89,11 @@
     std::map<Id, Amounts> extra;
     std::set<Id> blocked;
     std::uint32_t tasks = 0;
-    for (Id id : Placer::waiting_order(cluster, now, policy.rise_s)) {
+    for (Id id : Placer::waiting_order(cluster, now, policy.rise_s, zone_failover_)) {
         const Job& j = cluster.jobs[id];
+        if (zone_failover_.waits_for_zone(id)) {
+            continue;
+        }
         const Team* team = cluster.team(j.spec.team);
         if (!team) {
             continue;
@@ -386,11 +394,17 @@
         return 0;
     }
     n = std::min(n, policy.cap_per_kind - held);
+    ZoneMachines& there = machines_of_[o.zone];
+    n = std::min(n, zone_failover_.rentable(o.zone, there.reporting, there.on_their_way));
     bool permanent = !cloud.first_rented() && policy.permanent_first > 0;
     if (permanent) {
         n = std::min(n, policy.permanent_first);
     }
-    return n > 0 && cloud.rent(now, o.kind, o.zone, o.spot, n, permanent, why) ? n : 0;
+    if (n == 0 || !cloud.rent(now, o.kind, o.zone, o.spot, n, permanent, why)) {
+        return 0;
+    }
+    there.on_their_way += n;
+    return n;
 }
 
 void Scaler::rent_by_rule(Ms now, CloudManager& cloud) {
@@ -402,12 +416,16 @@
     double middle = (policy.mark_low + policy.mark_high) / 2;
     double need =
         (measure_.booked.get(r) + measure_.waiting.get(r)) / middle - measure_.capacity.get(r);
+    // What a lost zone displaced is divided among the others.
+    double parts = zone_failover_.evacuating() ? zone_failover_.open_zones() : 1;
+    double part = need / parts;
     for (const Option& o : options(nullptr, r, now, cloud)) {
         if (need <= 1e-6) {
             break;
         }
         double each = term_.cluster.kind(o.kind)->size.get(r);
-        auto n = static_cast<std::uint32_t>(std::clamp(std::ceil(need / each), 1.0, 50.0));
+        double wanted = std::ceil(std::min(need, part) / each);
+        auto n = static_cast<std::uint32_t>(std::clamp(wanted, 1.0, 50.0));
         n = rent(now, o, n,
                  fmt::format("measure {:.2f} of {} above {:.2f}", std::min(measure_.value, 999.0),
                              resource_name(r), policy.mark_high),
--- a/src/coordination/scaler.hpp
+++ b/src/coordination/scaler.hpp
@@ -9,10 +9,12 @@
 
 class WorkerManager;
 class CloudManager;
+class ZoneFailoverManager;
 
 class Scaler {
   public:
-    explicit Scaler(Term& term) : term_(term) {}
+    Scaler(Term& term, const ZoneFailoverManager& zone_failover)
+        : term_(term), zone_failover_(zone_failover) {}
     void tick(Ms now, const WorkerManager& workers, CloudManager& cloud);
 
     struct Measure {
@@ -75,6 +77,7 @@
                        CloudManager& cloud);
 
     Term& term_;
+    const ZoneFailoverManager& zone_failover_;
     Ms next_ = 0;
     Ms out_at_ = -1;
     Ms in_at_ = 0;
@@ -90,6 +93,12 @@
     std::vector<Id> full_;
     std::size_t looked_ = 0;                           // work done by it
     std::map<std::pair<Id, Id>, std::uint32_t> held_;  // machines by kind and zone
+    // By zone: machines that report, and those that were rented and have not reported yet.
+    struct ZoneMachines {
+        std::uint32_t reporting = 0;
+        std::uint32_t on_their_way = 0;
+    };
+    std::map<Id, ZoneMachines> machines_of_;
     std::vector<Demand> waiting_;
     std::vector<Demand> left_;
 };
--- a/src/coordination/worker_manager.cpp
+++ b/src/coordination/worker_manager.cpp
@@ -17,11 +17,15 @@
 constexpr std::uint32_t kDeafAfter = 2;  // answers not taken in, in a row: it gets nothing more
 }  // namespace
 
-bool WorkerManager::usable(const Machine& m, Ms now) const {
+bool WorkerManager::heard_lately(const Machine& m, Ms now) const {
     Ms fresh = to_ms(term_.core.platform.report_s * 2.0) + 1500;
-    return m.held && !m.returning && !m.gone && !m.sick && !m.lost && m.reported &&
-           m.notice_until < 0 && m.avoid_until <= now && now - m.last_heartbeat <= fresh &&
-           m.unheard < kDeafAfter && (m.token_seen || m.rented_now);
+    return m.reported && now - m.last_heartbeat <= fresh;
+}
+
+bool WorkerManager::usable(const Machine& m, Ms now) const {
+    return m.held && !m.returning && !m.gone && !m.sick && !m.lost && heard_lately(m, now) &&
+           m.notice_until < 0 && m.avoid_until <= now && m.unheard < kDeafAfter &&
+           (m.token_seen || m.rented_now);
 }
 
 void WorkerManager::heartbeat(Ms now, const HeartbeatRequest& q) {
--- a/src/coordination/worker_manager.hpp
+++ b/src/coordination/worker_manager.hpp
@@ -18,6 +18,8 @@
     // Answers the held reports whose orders are ready, or whose time is over. `rounds`: how many
     // rounds of placing are complete.
     void answer_held(Ms now, std::uint64_t rounds);
+    // It has reported within about two report intervals.
+    bool heard_lately(const Machine& m, Ms now) const;
     // The machine answers heartbeats, under our token, and may be given work.
     bool usable(const Machine& m, Ms now) const;
 
--- /dev/null
+++ b/src/coordination/zone_failover/recovery_ramp.hpp
@@ -0,0 +1,28 @@
+// How much of a returned zone may be used: a slow start from a small share of its capacity to all
+// of it. A ramp cut short by a flap halves the next one's first share.
+#pragma once
+
+#include "bookkeeping/types.hpp"
+#include "coordination/zone_failover/settings.hpp"
+
+namespace walkford {
+
+class RecoveryRamp {
+  public:
+    RecoveryRamp(const ZoneFailoverSettings& settings, std::uint32_t failed_ramps)
+        : settings_(&settings), failed_ramps_(failed_ramps) {}
+
+    double first_share() const;
+    // The share of the zone's capacity that may be booked, so long after the zone's return.
+    double share(Ms elapsed) const;
+    // How many machines may be on their way to the zone, unproven, beside those that report.
+    std::uint32_t unproven_machines(std::uint32_t reporting) const {
+        return settings_->probe_machines + reporting;
+    }
+
+  private:
+    const ZoneFailoverSettings* settings_;
+    std::uint32_t failed_ramps_;
+};
+
+}  // namespace walkford
--- /dev/null
+++ b/src/coordination/zone_failover/zone_evidence.hpp
@@ -0,0 +1,28 @@
+// What a leader observes of one zone at one moment.
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+namespace walkford {
+
+struct ZoneEvidence {
+    std::uint32_t machines = 0;           // that should report ...
+    std::uint32_t silent_machines = 0;    // ... and do not, or were taken away unannounced lately
+    std::uint32_t controllers = 0;        // that the settings place in the zone ...
+    std::uint32_t controllers_heard = 0;  // ... and that are heard
+    bool relayed = false;                 // a controller inside answers its workers: a cut
+    bool rental_refused = false;          // the cloud refused a rental there lately
+    bool others_heard = true;             // machines of other zones report
+    // The observer's own lease and view are proven, and it has led for long enough to judge.
+    bool conclusive = true;
+
+    double silent_share() const {
+        return machines == 0 ? 0.0 : static_cast<double>(silent_machines) / machines;
+    }
+};
+
+// In words, for the log.
+std::string describe(const ZoneEvidence& evidence);
+
+}  // namespace walkford
--- /dev/null
+++ b/src/protocol/properties_file.hpp
@@ -0,0 +1,20 @@
+// The operators' own settings: Java-style property files, checked.
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "coordination/policy.hpp"
+#include "protocol/settings_file.hpp"
+
+namespace walkford::protocol {
+
+// Reads the files in order; where two set the same property, the later one counts, and `notes` says
+// so. Throws SettingsError with the file and the field.
+Policy load_policy(const std::vector<std::string>& paths, std::vector<std::string>& notes);
+
+// Classes of jobs that the properties name and no objective does: accepted, as classes come and go.
+void note_unknown_classes(const Policy& policy, const Platform& platform,
+                          std::vector<std::string>& notes);
+
+}  // namespace walkford::protocol
--- a/src/protocol/settings_file.cpp
+++ b/src/protocol/settings_file.cpp
@@ -1,12 +1,7 @@
 #include "protocol/settings_file.hpp"
 
-#include <Poco/Exception.h>
-#include <Poco/Util/PropertyFileConfiguration.h>
-
 #include <cmath>
 #include <fstream>
-#include <functional>
-#include <map>
 #include <sstream>
 
 #include "bookkeeping/records.hpp"
@@ -118,7 +113,8 @@
     const Json& seeds = top.list("seeds");
     for (std::size_t i = 0; i < seeds.size(); ++i) {
         Reader seed(seeds[i], "seeds[" + std::to_string(i) + "]");
-        p.peers.push_back({seed.text("node_name"), seed.address("endpoint")});
+        p.peers.push_back({seed.text("node_name"), seed.address("endpoint"),
+                           seed.has("location") ? seed.text("location") : ""});
     }
     Reader external = top.child("external");
     p.cloud = external.address("cloud");
@@ -153,6 +149,9 @@
         for (std::size_t i = 0; i < objectives.size(); ++i) {
             Reader o(objectives[i], "params.objectives[" + std::to_string(i) + "]");
             std::string kind = o.text("kind");
+            if (o.has("class")) {
+                p.classes.push_back(o.text("class"));
+            }
             if (kind != "wait" && kind != "finished" && kind != "deadline" && kind != "guarantee") {
                 notes.push_back(o.where("kind") + ": '" + kind + "' is not known and ignored");
             } else if (kind == "wait") {
@@ -196,141 +195,14 @@
     return p;
 }
 
-namespace {
-std::string slurp(const std::string& path, const char* what) {
+Platform load_platform(const std::string& path, std::vector<std::string>& notes) {
     std::ifstream in(path, std::ios::binary);
-    if (!in) {
-        throw SettingsError(std::string(what) + ": can't read " + path);
-    }
     std::ostringstream text;
     text << in.rdbuf();
-    if (in.bad()) {
-        throw SettingsError(std::string(what) + ": can't read " + path);
-    }
-    return text.str();
-}
-}  // namespace
-
-Platform load_platform(const std::string& path, std::vector<std::string>& notes) {
-    return read_platform(slurp(path, "settings"), notes);
-}
-
-Policy load_policy(const std::string& path) {
-    Policy q;
-    if (path.empty()) {
-        return q;
-    }
-    slurp(path, "properties");
-    using Poco::Util::PropertyFileConfiguration;
-    Poco::AutoPtr<PropertyFileConfiguration> file;
-    try {
-        file = new PropertyFileConfiguration(path);
-    } catch (const Poco::Exception& e) {
-        throw SettingsError("properties: " + e.displayText());
-    }
-    struct Number {
-        double* value;
-        double least;
-        double most;
-    };
-    double cap = q.cap_per_kind;
-    double keep = q.keep_slots;
-    double gather = q.gather;
-    double permanent = q.permanent_first;
-    double unplaceable = q.rent_unplaceable ? 1 : 0;
-    double preempt = q.preempt ? 1 : 0;
-    std::map<std::string, Number> numbers{
-        {"scale.mark.low", {&q.mark_low, 0, 1}},
-        {"scale.mark.high", {&q.mark_high, 0, 1}},
-        {"scale.out.interval_s", {&q.out_interval_s, 0.1, 3600}},
-        {"scale.in.interval_s", {&q.in_interval_s, 0.1, 3600}},
-        {"scale.cap_per_kind", {&cap, 0, 10000}},
-        {"scale.permanent.first", {&permanent, 0, 50}},
-        {"scale.unplaceable", {&unplaceable, 0, 1}},
-        {"scale.unplaceable.after_s", {&q.unplaceable_after_s, 0, 3600}},
-        {"scale.spot", {&q.spot_prefer, 0, 1}},
-        {"scale.idle_cost", {&q.idle_cost, 0, 1e6}},
-        {"scale.no_capacity_backoff_s", {&q.no_capacity_backoff_s, 0.5, 3600}},
-        {"machines.boot.give_up", {&q.boot_give_up, 1, 100}},
-        {"machines.boot.late", {&q.boot_late, 1, 100}},
-        {"machines.lost_return_s", {&q.lost_return_s, 0, 3600}},
-        {"machines.unseen_return_s", {&q.unseen_return_s, 1, 3600}},
-        {"machines.deaf_return_s", {&q.deaf_return_s, 1, 3600}},
-        {"workers.settle_s", {&q.settle_s, 0, 2}},
-        {"workers.idle_hold_s", {&q.idle_hold_s, 0, 3}},
-        {"place.round_budget_ms", {&q.round_budget_ms, 0.1, 1000}},
-        {"place.regret_s", {&q.opportunity_cost_s, 0, 3600}},
-        {"place.keep_slots", {&keep, 0, 1000}},
-        {"place.preempt", {&preempt, 0, 1}},
-        {"place.rise_s", {&q.rise_s, 0, 86400}},
-        {"place.gather", {&gather, 0, 1000}},
-        {"place.gather.after_s", {&q.gather_after_s, 0, 3600}},
-        {"place.preempt.after_s", {&q.preempt_after_s, 0, 3600}},
-        {"leader.lease_s", {&q.lease_ttl_s, 0.5, 600}},
-        {"leader.probe_after_s", {&q.takeover_probe_s, 0.5, 600}},
-    };
-    PropertyFileConfiguration::Keys names;
-    std::function<void(const std::string&)> walk = [&](const std::string& base) {
-        PropertyFileConfiguration::Keys keys;
-        file->keys(base, keys);
-        for (const std::string& key : keys) {
-            std::string full = base;
-            if (!full.empty()) {
-                full += ".";
-            }
-            full += key;
-            if (file->hasProperty(full)) {
-                names.push_back(full);
-            }
-            walk(full);
-        }
-    };
-    walk("");
-    for (const std::string& name : names) {
-        if (name == "scale.order") {
-            q.order = file->getString(name);
-            if (q.order != "cost" && q.order != "cores") {
-                throw SettingsError("scale.order: must be cost or cores");
-            }
-            continue;
-        }
-        if (name == "place.order") {
-            q.place_order = file->getString(name);
-            if (q.place_order != "aim" && q.place_order != "age") {
-                throw SettingsError("place.order: must be aim or age");
-            }
-            continue;
-        }
-        auto it = numbers.find(name);
-        if (it == numbers.end()) {
-            throw SettingsError(name + ": no such property");
-        }
-        double v;
-        try {
-            v = file->getDouble(name);
-        } catch (const Poco::Exception&) {
-            throw SettingsError(name + ": must be a number");
-        }
-        if (!(v >= it->second.least && v <= it->second.most)) {
-            std::ostringstream s;
-            s << name << ": must be from " << it->second.least << " to " << it->second.most;
-            throw SettingsError(s.str());
-        }
-        *it->second.value = v;
-    }
-    q.keep_slots = static_cast<std::uint32_t>(keep);
-    q.gather = static_cast<std::uint32_t>(gather);
-    q.cap_per_kind = static_cast<std::uint32_t>(cap);
-    q.permanent_first = static_cast<std::uint32_t>(permanent);
-    q.rent_unplaceable = unplaceable != 0;
-    q.preempt = preempt != 0;
-    if (!(q.mark_low < q.mark_high)) {
-        throw SettingsError("scale.mark.low: must be below scale.mark.high");
-    }
-    if (!(q.mark_high < 1)) {
-        throw SettingsError("scale.mark.high: must be below 1");
+    if (!in || in.bad()) {
+        throw SettingsError("settings: can't read " + path);
     }
-    return q;
+    return read_platform(text.str(), notes);
 }
 
 }  // namespace walkford::protocol
--- a/src/protocol/settings_file.hpp
+++ b/src/protocol/settings_file.hpp
@@ -1,4 +1,4 @@
-// The platform's JSON settings and the operators' properties, checked.
+// The platform's JSON settings, checked.
 #pragma once
 
 #include <stdexcept>
@@ -17,6 +17,5 @@
 // Notes are what was ignored, to be logged once logging works.
 Platform read_platform(const std::string& json_text, std::vector<std::string>& notes);
 Platform load_platform(const std::string& path, std::vector<std::string>& notes);
-Policy load_policy(const std::string& path);
 
 }  // namespace walkford::protocol
--- a/src/transport/main.cpp
+++ b/src/transport/main.cpp
@@ -8,6 +8,7 @@
 #include <iostream>
 #include <random>
 
+#include "protocol/properties_file.hpp"
 #include "protocol/settings_file.hpp"
 #include "transport/process.hpp"
 
@@ -43,10 +44,13 @@
 int main(int argc, char** argv) {
     CLI::App app{"walkford, a cluster scheduler: one controller"};
     std::string config;
-    std::string properties;
+    std::vector<std::string> properties;
     bool check = false;
     app.add_option("--config", config, "the platform's settings, a JSON file")->required();
-    app.add_option("--properties", properties, "the operators' settings, a properties file");
+    app.add_option("--properties", properties,
+                   "the operators' settings, property files: the later counts")
+        ->expected(1)
+        ->take_all();
     app.add_flag("--check", check, "check both files and stop");
     app.set_version_flag("--version", std::string("walkford ") + WALKFORD_VERSION);
     try {
@@ -61,7 +65,8 @@
     std::vector<std::string> notes;
     try {
         platform = walkford::protocol::load_platform(config, notes);
-        policy = walkford::protocol::load_policy(properties);
+        policy = walkford::protocol::load_policy(properties, notes);
+        walkford::protocol::note_unknown_classes(policy, platform, notes);
     } catch (const std::exception& e) {
         std::cerr << "walkford: " << e.what() << "\n";
         return kBadSettings;
--- a/tests/protocol_test.cpp
+++ b/tests/protocol_test.cpp
@@ -7,6 +7,7 @@
 
 #include "protocol/pack.hpp"
 #include "protocol/peer_frame.hpp"
+#include "protocol/properties_file.hpp"
 #include "protocol/settings_file.hpp"
 #include "protocol/wire.hpp"
 
@@ -332,7 +333,8 @@
     std::fclose(f);
     std::string said;
     try {
-        load_policy(path);
+        std::vector<std::string> notes;
+        load_policy({path}, notes);
     } catch (const SettingsError& e) {
         said = e.what();
     }
