--- a/src/bookkeeping/cluster_state.cpp
+++ b/src/bookkeeping/cluster_state.cpp
@@ -216,6 +216,7 @@
 }
 
 void ClusterState::requeue(TaskRef ref, Ms now) {
+    Id machine = task(ref).machine;
     unseat(ref);
     Task& t = task(ref);
     if (t.phase == Phase::done || t.phase == Phase::idle) {
@@ -228,6 +229,10 @@
         j.waiting_since = now;
     }
     j.again.push_back(ref.task);
+    if (machine != kNone) {
+        j.interrupted_in = machines[machine].zone;
+        j.interrupted_at = now;
+    }
 }
 
 void ClusterState::mark_done(TaskRef ref) {
--- a/src/bookkeeping/cluster_state.hpp
+++ b/src/bookkeeping/cluster_state.hpp
@@ -85,9 +85,11 @@
     Ms not_before = 0;
     int rank = 0;  // the priority it has risen to by waiting
     Ms waiting_since = 0;
-    Ms gather_at = -1;       // gang: when room for it is next planned ...
-    bool gathering = false;  // ... and whether machines are kept for it
-    Ms replace_by = -1;      // gang: members lost before it began are to be replaced until then
+    Id interrupted_in = kNone;  // the zone in which a task of it was last lost or stopped ...
+    Ms interrupted_at = -1;     // ... and when
+    Ms gather_at = -1;          // gang: when room for it is next planned ...
+    bool gathering = false;     // ... and whether machines are kept for it
+    Ms replace_by = -1;         // gang: members lost before it began are to be replaced until then
 
     // Its priority, or what it has risen to by waiting.
     int effective_priority() const { return std::max(static_cast<int>(spec.priority), rank); }
--- a/src/coordination/scaler.cpp
+++ b/src/coordination/scaler.cpp
@@ -91,7 +91,11 @@
     std::uint32_t tasks = 0;
     for (Id id : Placer::waiting_order(cluster, now, policy.rise_s, zone_failover_)) {
         const Job& j = cluster.jobs[id];
+        // Bound to a lost zone: no machine elsewhere helps it, and its limit keeps nobody back.
         if (zone_failover_.waits_for_zone(id)) {
+            if (zone_failover_.waited_long(id)) {
+                waiting_.push_back({id, j.waiting()});
+            }
             continue;
         }
         const Team* team = cluster.team(j.spec.team);
@@ -387,7 +391,7 @@
 }
 
 std::uint32_t Scaler::rent(Ms now, const Option& o, std::uint32_t n, const std::string& why,
-                           CloudManager& cloud) {
+                           CloudManager& cloud, Id for_job) {
     const Policy& policy = term_.core.policy;
     std::uint32_t held = held_of(o.kind, cloud);
     if (held >= policy.cap_per_kind) {
@@ -395,7 +399,7 @@
     }
     n = std::min(n, policy.cap_per_kind - held);
     ZoneMachines& there = machines_of_[o.zone];
-    n = std::min(n, zone_failover_.rentable(o.zone, there.reporting, there.on_their_way));
+    n = std::min(n, zone_failover_.rentable(o.zone, there.reporting, there.on_their_way, for_job));
     bool permanent = !cloud.first_rented() && policy.permanent_first > 0;
     if (permanent) {
         n = std::min(n, policy.permanent_first);
@@ -465,7 +469,7 @@
         }
         std::uint32_t n = (count + per - 1) / per;
         n = rent(now, o, n, fmt::format("{} has {} tasks that fit nowhere", j.spec.id, count),
-                 cloud);
+                 cloud, term_.cluster.find_job(j.spec.id));
         if (n == 0) {
             continue;
         }
--- a/src/coordination/scaler.hpp
+++ b/src/coordination/scaler.hpp
@@ -72,9 +72,9 @@
     bool rent_for(Ms now, const Demand& d, CloudManager& cloud);
     void give_back(Ms now, CloudManager& cloud);
     std::uint32_t held_of(Id kind, const CloudManager& cloud) const;
-    // How many were asked for.
+    // How many were asked for. `for_job`: a job that fits nowhere; kNone: by the measure.
     std::uint32_t rent(Ms now, const Option& o, std::uint32_t n, const std::string& why,
-                       CloudManager& cloud);
+                       CloudManager& cloud, Id for_job = kNone);
 
     Term& term_;
     const ZoneFailoverManager& zone_failover_;
--- a/src/coordination/view_keeper.cpp
+++ b/src/coordination/view_keeper.cpp
@@ -6,10 +6,10 @@
 
 namespace {
 // Ended jobs are not read at the start: they are looked up when asked for.
-const std::array<std::string, 8>& reading_prefixes() {
-    static const std::array<std::string, 8> prefixes{
-        keys::kLeader,        keys::kRegistry, keys::kRegistryParts, keys::kKinds,
-        keys::kAnnouncements, keys::kRelays,   keys::kJobs,          keys::kTasks};
+const std::array<std::string, 9>& reading_prefixes() {
+    static const std::array<std::string, 9> prefixes{
+        keys::kLeader, keys::kRegistry,    keys::kRegistryParts, keys::kKinds, keys::kAnnouncements,
+        keys::kRelays, keys::kZoneRecords, keys::kJobs,          keys::kTasks};
     return prefixes;
 }
 constexpr Ms kWatchFor = 20000;
--- a/src/coordination/zone_failover/displaced_work.cpp
+++ b/src/coordination/zone_failover/displaced_work.cpp
@@ -96,12 +96,12 @@
 }
 
 std::vector<DisplacedWork::ClassDone> DisplacedWork::settle(Ms now, ClusterState& cluster,
-                                                            const std::set<Id>& lost) {
+                                                            const std::set<Id>& failing) {
     std::vector<ClassDone> settled;
     for (auto it = jobs_.begin(); it != jobs_.end();) {
         const auto& [job, entry] = *it;
         bool ended = !known(cluster, job, entry) || cluster.jobs[job].cancelled;
-        Id lost_zone = lost.count(entry.zone) > 0 ? entry.zone : kNone;
+        Id lost_zone = failing.count(entry.zone) > 0 ? entry.zone : kNone;
         bool again = !ended && runs_again(cluster, job, lost_zone);
         if (!ended && !again) {
             ++it;
--- a/src/coordination/zone_failover/displaced_work.hpp
+++ b/src/coordination/zone_failover/displaced_work.hpp
@@ -50,8 +50,8 @@
         std::uint32_t ended = 0;  // done or cancelled meanwhile
         Ms took = 0;
     };
-    // `lost`: the zones that are lost still; what runs in one that is back runs again.
-    std::vector<ClassDone> settle(Ms now, ClusterState& cluster, const std::set<Id>& lost);
+    // `failing`: zones that are still not well; what runs in one that is back runs again.
+    std::vector<ClassDone> settle(Ms now, ClusterState& cluster, const std::set<Id>& failing);
 
     const EvacuationOrder& order() const { return order_; }
     // The displaced jobs, most urgent class first.
--- a/src/coordination/zone_failover_manager.cpp
+++ b/src/coordination/zone_failover_manager.cpp
@@ -11,10 +11,10 @@
 
 namespace {
 constexpr Ms kObserveEvery = 500;
-constexpr Ms kSettle = 8000;      // a new leader has yet to be found by the machines
 constexpr Ms kProofFresh = 3000;  // the view is proven each second while the service answers
 constexpr Ms kControllerHeard = 5000;
-constexpr Ms kTakenCounts = 60000;  // a machine taken unannounced counts as silent for so long
+constexpr Ms kTakenCounts = 30000;        // a machine taken for silent counts as such for so long
+constexpr Ms kInterruptedLately = 60000;  // work lost before its zone was under suspicion
 constexpr Ms kRetry = 500;
 constexpr Ms kProgressEvery = 10000;  // how often the time in a state is written ...
 constexpr Ms kPenaltyEvery = 60000;   // ... and a penalty that only decays
@@ -38,6 +38,12 @@
     gates_.resize(zones_.size());
 }
 
+// A new leader has yet to be found by the machines.
+Ms ZoneFailoverManager::settled_at() const {
+    constexpr Ms kFindLeader = 3000;
+    return term_.elected_at + to_ms(2 * term_.core.platform.report_s) + kFindLeader;
+}
+
 bool ZoneFailoverManager::active() const {
     return settings_.enabled && term_.core.may_write(kFeatureZoneFailover);
 }
@@ -54,9 +60,7 @@
     observe(now, workers, cloud);
     for (Id zone = 0; zone < zones_.size(); ++zone) {
         judge(now, zone);
-        bool failing =
-            zones_[zone].health.state() == ZoneState::suspect || acted_on(zone) == ZoneState::lost;
-        if (failing) {
+        if (failing(zone)) {
             mark_displaced(now, zone, &workers);
         }
         if (write_due(now, zones_[zone])) {
@@ -95,6 +99,7 @@
     zone.health.restore(now, *record);
     zone.durable = *record;
     zone.durable_since = now - record->in_state;
+    zone.failing_since = zone.durable_since;
     zone.written_at = now;
     if (record->state != ZoneState::up) {
         spdlog::info("zone {}: {} for {:.0f} s already, penalty {:.2f}", zone.name,
@@ -186,6 +191,10 @@
     term_.rent_now = true;
 }
 
+bool ZoneFailoverManager::failing(Id zone) const {
+    return lost(zone) || zones_[zone].health.state() == ZoneState::suspect;
+}
+
 ZoneState ZoneFailoverManager::acted_on(Id zone) const {
     return zone < zones_.size() ? zones_[zone].durable.state : ZoneState::up;
 }
@@ -193,14 +202,37 @@
 // ---- evidence
 
 bool ZoneFailoverManager::expects_report(const Machine& m, Ms now) const {
-    if (m.gone || !m.held || m.returning || m.sick) {
+    if (!m.held || m.sick) {
         return false;
     }
-    // One that an earlier leader rented and the cloud lists as running has a worker that should
+    // One that an earlier leader used, or that the cloud lists as running, has a worker that should
     // have found this leader by now.
-    bool inherited =
-        !m.rented_now && m.cloud == CloudStatus::running && now > term_.elected_at + kSettle;
-    return m.reported || inherited;
+    bool was_up = m.cloud == CloudStatus::running || !m.tasks.empty();
+    return m.reported || (!m.rented_now && was_up && now > settled_at());
+}
+
+ZoneFailoverManager::Hearing ZoneFailoverManager::hear(Ms now, const Machine& m,
+                                                       MachineWatch& watch,
+                                                       const WorkerManager& workers) const {
+    bool leaves = m.gone || m.returning;
+    if (leaves && !watch.left) {
+        watch.left = true;
+        // Given back for its silence; or taken unannounced, also before it could find this leader.
+        bool unmet = !m.reported && !m.rented_now;
+        bool taken = m.returning ? watch.last == Hearing::silent
+                                 : watch.last != Hearing::not_expected || unmet;
+        watch.taken_at = taken ? now : -1;
+    }
+    if (leaves) {
+        bool counts = watch.taken_at >= 0 && now < watch.taken_at + kTakenCounts;
+        return counts ? Hearing::silent : Hearing::not_expected;
+    }
+    bool heard = workers.heard_lately(m, now);
+    // One that the cloud has said it takes says nothing of its zone.
+    watch.noticed = m.notice_until >= 0 || (watch.noticed && !heard);
+    bool expected = expects_report(m, now) && !watch.noticed;
+    watch.last = !expected ? Hearing::not_expected : heard ? Hearing::heard : Hearing::silent;
+    return watch.last;
 }
 
 void ZoneFailoverManager::observe_machines(Ms now, const WorkerManager& workers) {
@@ -208,27 +240,13 @@
     watches_.resize(cluster.machines.size());
     for (Id id = 0; id < cluster.machines.size(); ++id) {
         const Machine& m = cluster.machines[id];
-        MachineWatch& watch = watches_[id];
         if (m.zone >= zones_.size()) {
             continue;
         }
+        Hearing hearing = hear(now, m, watches_[id], workers);
         ZoneEvidence& evidence = zones_[m.zone].evidence;
-        if (m.gone) {
-            if (watch.expected) {
-                watch.taken_at = now;
-                watch.expected = false;
-            }
-            bool counts = watch.taken_at >= 0 && now < watch.taken_at + kTakenCounts;
-            evidence.machines += counts;
-            evidence.silent_machines += counts;
-            continue;
-        }
-        bool heard = workers.heard_lately(m, now);
-        // One that the cloud has said it takes says nothing of its zone.
-        watch.noticed = m.notice_until >= 0 || (watch.noticed && !heard);
-        watch.expected = expects_report(m, now) && !watch.noticed;
-        evidence.machines += watch.expected;
-        evidence.silent_machines += watch.expected && !heard;
+        evidence.machines += hearing != Hearing::not_expected;
+        evidence.silent_machines += hearing == Hearing::silent;
     }
 }
 
@@ -250,8 +268,7 @@
 }
 
 void ZoneFailoverManager::observe(Ms now, const WorkerManager& workers, const CloudManager& cloud) {
-    bool conclusive =
-        term_.act && now > term_.elected_at + kSettle && term_.proven_until >= now - kProofFresh;
+    bool conclusive = term_.act && now > settled_at() && term_.proven_until >= now - kProofFresh;
     for (Zone& zone : zones_) {
         zone.evidence = {};
         zone.evidence.conclusive = conclusive;
@@ -277,6 +294,9 @@
         return;
     }
     ZoneState after = zone.health.state();
+    if (before == ZoneState::up || before == ZoneState::returning) {
+        zone.failing_since = now;
+    }
     bool suspicion = before == ZoneState::suspect || after == ZoneState::suspect;
     if (suspicion && after != ZoneState::lost) {
         spdlog::info("zone {}: {} -> {} ({})", zone.name, name_of(before), name_of(after),
@@ -308,6 +328,15 @@
             }
         }
     }
+    // What the first machines to go held was taken off them before there was a suspicion.
+    for (Id id = 0; id < cluster.jobs.size(); ++id) {
+        const Job& job = cluster.jobs[id];
+        bool lately = job.interrupted_in == zone && job.interrupted_at >= 0 &&
+                      now < job.interrupted_at + kInterruptedLately;
+        if (lately && job.alive && !job.cancelled && !job.again.empty() && job.spec.zone != zone) {
+            displaced_.mark(now, cluster, id, zone);
+        }
+    }
 }
 
 // Work that an earlier leader had already taken off the lost zone: it was started once and waits.
@@ -343,13 +372,13 @@
 }
 
 void ZoneFailoverManager::settle(Ms now) {
-    std::set<Id> lost_zones;
+    std::set<Id> not_well;
     for (Id zone = 0; zone < zones_.size(); ++zone) {
-        if (lost(zone)) {
-            lost_zones.insert(zone);
+        if (failing(zone)) {
+            not_well.insert(zone);
         }
     }
-    for (const DisplacedWork::ClassDone& done : displaced_.settle(now, term_.cluster, lost_zones)) {
+    for (const DisplacedWork::ClassDone& done : displaced_.settle(now, term_.cluster, not_well)) {
         std::string name =
             done.job_class == kNone ? "-" : term_.core.names.lanes.name(done.job_class);
         spdlog::info("zone {}: displaced work of {} runs again, {} jobs after {:.1f} s{}",
@@ -361,7 +390,7 @@
     for (Id zone = 0; zone < zones_.size(); ++zone) {
         bool failed = acted_on(zone) == ZoneState::lost || acted_on(zone) == ZoneState::returning;
         restricts_ = restricts_ || failed;
-        evacuating_ = evacuating_ || (failed && !displaced_.empty());
+        evacuating_ = evacuating_ || ((failed || failing(zone)) && !displaced_.empty());
     }
 }
 
@@ -379,7 +408,7 @@
 void ZoneFailoverManager::begin_round(Ms now, const FreeCapacity& rooms) {
     now_ = now;
     reserve_.clear();
-    if (!restricts_) {
+    if (!restricts_ && !evacuating_) {
         return;
     }
     for (Id zone = 0; zone < zones_.size(); ++zone) {
@@ -430,8 +459,8 @@
 void ZoneFailoverManager::build_reserve(Ms now, const FreeCapacity& rooms) {
     bool held = false;
     for (Id zone = 0; zone < zones_.size(); ++zone) {
-        held = held || (acted_on(zone) == ZoneState::lost &&
-                        now < zones_[zone].durable_since + to_ms(settings_.hold_s));
+        held =
+            held || (failing(zone) && now < zones_[zone].failing_since + to_ms(settings_.hold_s));
     }
     if (!held || !evacuating_) {
         return;
@@ -484,8 +513,7 @@
         (gate.replicas_starting >= settings_.replicas || gate.jobs_starting.count(id) > 0)) {
         return false;
     }
-    bool waited = now_ >= job.waiting_since + to_ms(settings_.wait_most_s);
-    if (waited) {
+    if (waited_long(id)) {
         return true;
     }
     if (gate.state == ZoneState::lost && !bound_to(job, zone)) {
@@ -515,7 +543,7 @@
 }
 
 void ZoneFailoverManager::placed(Id id, const EvacuationReserve::Place& place, bool fetches) {
-    if (!restricts_) {
+    if (!restricts_ && reserve_.empty()) {
         return;
     }
     const Job& job = term_.cluster.jobs[id];
@@ -545,13 +573,18 @@
 
 bool ZoneFailoverManager::lost(Id zone) const { return acted_on(zone) == ZoneState::lost; }
 
+bool ZoneFailoverManager::waited_long(Id job) const {
+    return now_ >= term_.cluster.jobs[job].waiting_since + to_ms(settings_.wait_most_s);
+}
+
 std::uint32_t ZoneFailoverManager::rentable(Id zone, std::uint32_t reporting,
-                                            std::uint32_t on_their_way) const {
+                                            std::uint32_t on_their_way, Id for_job) const {
     ZoneState state = acted_on(zone);
     if (!restricts_ || state == ZoneState::up || state == ZoneState::suspect) {
         return kNoLimit;
     }
-    if (state == ZoneState::lost && any_open()) {
+    bool tried = for_job != kNone && waited_long(for_job);
+    if (state == ZoneState::lost && any_open() && !tried) {
         return 0;
     }
     RecoveryRamp ramp(settings_, zones_[zone].durable.failed_ramps);
--- a/src/coordination/zone_failover_manager.hpp
+++ b/src/coordination/zone_failover_manager.hpp
@@ -26,8 +26,8 @@
     // ---- for placing
     // Looks at the zones anew, at the beginning of a round of placing.
     void begin_round(Ms now, const FreeCapacity& rooms);
-    // Some zone is lost or returning, so that the questions below have to be asked.
-    bool restricts() const { return restricts_; }
+    // Some zone is not well, so that the questions below have to be asked.
+    bool restricts() const { return restricts_ || evacuating_; }
     // May a task of the job (of a gang: all of them) begin in the zone now?
     bool admits(Id job, Id zone) const;
     // May a machine there begin to fetch an image, with so many fetches under way on it?
@@ -50,8 +50,12 @@
     // ---- for renting
     // Silent machines there are no capacity any more.
     bool lost(Id zone) const;
-    // How many more machines may be rented there, with so many reporting and so many on their way.
-    std::uint32_t rentable(Id zone, std::uint32_t reporting, std::uint32_t on_their_way) const;
+    // How many more machines may be rented there, with so many reporting and so many on their way,
+    // for a job that fits nowhere (kNone: for work that could be elsewhere).
+    std::uint32_t rentable(Id zone, std::uint32_t reporting, std::uint32_t on_their_way,
+                           Id for_job) const;
+    // The job has waited so long that a zone that is not well is tried for it.
+    bool waited_long(Id job) const;
     // Over how many zones rentals for displaced work are divided.
     std::uint32_t open_zones() const;
 
@@ -64,6 +68,7 @@
         // What stands in the durable record, and is acted on.
         ZoneRecord durable;
         Ms durable_since = 0;  // when the state acted on began
+        Ms failing_since = 0;  // when it last ceased to be well
         std::uint64_t stamp = 0;
         bool writing = false;
         bool rewrite = false;  // the stored value can't be read
@@ -80,10 +85,12 @@
         std::set<Id> jobs_starting;  // services with a replica that starts there
     };
     // What is remembered of a machine from one observation to the next.
+    enum class Hearing : std::uint8_t { not_expected, heard, silent };
     struct MachineWatch {
-        bool expected = false;  // it should report
-        bool noticed = false;   // the cloud has said that it takes it
-        Ms taken_at = -1;       // the cloud took it unannounced
+        Hearing last = Hearing::not_expected;
+        bool noticed = false;  // the cloud has said that it takes it
+        bool left = false;     // it is gone, or being given back
+        Ms taken_at = -1;  // the cloud took it unannounced, or it was given back for its silence
     };
 
     void load(Ms now);
@@ -91,6 +98,8 @@
     void observe(Ms now, const WorkerManager& workers, const CloudManager& cloud);
     void observe_machines(Ms now, const WorkerManager& workers);
     bool expects_report(const Machine& machine, Ms now) const;
+    Hearing hear(Ms now, const Machine& machine, MachineWatch& watch,
+                 const WorkerManager& workers) const;
     void observe_controllers(Ms now);
     void judge(Ms now, Id zone);
     void mark_displaced(Ms now, Id zone, const WorkerManager* workers);
@@ -104,6 +113,8 @@
     void build_reserve(Ms now, const FreeCapacity& rooms);
     void build_gate(Ms now, Id zone, const FreeCapacity& rooms);
     void count_starting(Gate& gate, const Machine& machine);
+    Ms settled_at() const;
+    bool failing(Id zone) const;  // under suspicion, or lost
     ZoneState acted_on(Id zone) const;
     bool any_open() const;
     bool bound_to(const Job& job, Id zone) const;
--- a/tests/standin/controllers.cpp
+++ b/tests/standin/controllers.cpp
@@ -19,7 +19,7 @@
     p.incarnation = p.node_name + "-" + std::to_string(h.life);
     for (std::size_t k = 0; k < o_.nodes; ++k) {
         if (k != i) {
-            p.peers.push_back({"n" + std::to_string(k), ""});
+            p.peers.push_back({"n" + std::to_string(k), "", zone_of_controller(k)});
         }
     }
     h.rate = 1.0 + static_cast<double>(pick(-5, 5)) / 10000.0;
@@ -241,7 +241,9 @@
                                          machine.zone == c.zone && machine.spot == c.spot;
                               });
     int room = cloud_->room_per_option - static_cast<int>(held);
-    if (room <= 0) {
+    Ms dark_until = zone_dark_until(c.zone);
+    bool refused = dark_until >= 0 && !lost_zones_.at(c.zone).rents;
+    if (room <= 0 || refused) {
         reply.status = 503;
         reply.more = true;
         return;
@@ -254,6 +256,10 @@
             boot = pick(100, 2000);
             ++started_fast;
         }
+        if (dark_until >= 0) {
+            boot += dark_until - now_;
+        }
+        rentals.emplace_back(now_, c.zone);
         cloud_->machines.push_back({name, c.zone, kind, c.spot, now_, now_ + boot, -1});
         reply.names.push_back(name);
         at(now_ + boot, [this, name, kind, zone = c.zone, spot = c.spot] {
--- a/tests/standin/entities.hpp
+++ b/tests/standin/entities.hpp
@@ -51,11 +51,14 @@
     Ms notice_until = -1;
     Ms mute_until = -1;  // its reports reach no controller; direct commands reach it
     std::map<std::tuple<std::string, std::uint32_t, std::uint32_t>, Running> tasks;
+    std::set<std::string> images;    // held ...
+    std::set<std::string> fetching;  // ... and on their way
 };
 
 struct World::Job {
     JobSpec spec;
     std::string team, zone;
+    std::string job_class;  // empty: one of a few, by the number of tasks
     std::vector<std::string> kinds;
     bool any_kind = true;
     Ms run_ms = 0;
@@ -69,6 +72,7 @@
     Ms last_answer = 0;  // any answer to a poll
     std::vector<bool> done;
     std::vector<Ms> progress;  // saved
+    std::string image() const { return "img-" + std::to_string(spec.tasks % 4); }
     bool all_done() const {
         return std::all_of(done.begin(), done.end(), [](bool d) { return d; });
     }
--- a/tests/standin/machines.cpp
+++ b/tests/standin/machines.cpp
@@ -16,6 +16,9 @@
     w->lease_from = up_at;
     w->node = static_cast<std::size_t>(pick(0, static_cast<int>(o_.nodes) - 1));
     workers_[name] = std::move(w);
+    if (Ms dark_until = zone_dark_until(zone); dark_until >= 0) {
+        cut(name, "*", dark_until - now_, false);
+    }
     heartbeat(name);
 }
 
@@ -213,6 +216,8 @@
             return;
         }
         r.state = TaskState::pulling;
+        note(w, r, TaskEvent::What::ordered);
+        begin_fetch(w, j->second->image());
         changed(w);
         at(now_ + pick(200, 4000), [this, name = w.name, o, session = w.session] {
             auto found = workers_.find(name);
@@ -263,6 +268,7 @@
     }
     Running& r = it->second;
     Job& j = *jobs_.at(job);
+    end_fetch(w, j.image());
     check_start(w, r);
     r.on = true;
     ++started;
@@ -308,6 +314,7 @@
 void World::begin(Worker& w, Running& r) {
     r.state = TaskState::running;
     r.began = now_;
+    note(w, r, TaskEvent::What::began);
     std::uint64_t version = ++r.version;
     Job& j = *jobs_.at(r.job);
     Ms left = std::max<Ms>(300, j.run_ms - (j.spec.gang() ? 0 : j.progress[r.task]));
@@ -383,6 +390,10 @@
 
 void World::end(Worker& w, Running& r, const std::string& cause, bool kept) {
     bool was_running = r.state == TaskState::running || r.state == TaskState::saving;
+    note(w, r, TaskEvent::What::ended);
+    if (r.state == TaskState::pulling) {
+        w.fetching.erase(jobs_.at(r.job)->image());  // given up
+    }
     r.state = TaskState::exited;
     r.cause = cause;
     r.kept = kept;
--- a/tests/standin/rules.cpp
+++ b/tests/standin/rules.cpp
@@ -69,6 +69,7 @@
             auto tasks = std::move(w->tasks);
             leases_over += tasks.empty() ? 0 : 1;
             w->tasks.clear();
+            forget_images(*w);
             ++w->session;
             w->lease_from = now_;
             changed(*w);
--- a/tests/standin/scenarios.cpp
+++ b/tests/standin/scenarios.cpp
@@ -19,6 +19,7 @@
     auto tasks = std::move(w.tasks);
     w.tasks.clear();
     ++w.session;
+    forget_images(w);
     if (chance(0.5)) {
         w.token = 0;
     }
--- a/tests/standin/state_service.cpp
+++ b/tests/standin/state_service.cpp
@@ -4,6 +4,28 @@
 
 namespace walkford::standin {
 
+void StateService::log(Ms now, StateRow row) {
+    log_.push_back(std::move(row));
+    logged_at_.push_back(now);
+}
+
+void StateService::store(const std::map<std::string, Json>& values) {
+    for (const auto& [key, value] : values) {
+        rows_[key] = {value, ++revision_, 0};
+        log(0, {key, value, revision_});
+    }
+}
+
+std::vector<std::pair<Ms, Json>> StateService::history(const std::string& key) const {
+    std::vector<std::pair<Ms, Json>> values;
+    for (std::size_t i = 0; i < log_.size(); ++i) {
+        if (log_[i].key == key && log_[i].value) {
+            values.emplace_back(logged_at_[i], *log_[i].value);
+        }
+    }
+    return values;
+}
+
 bool StateService::serves(const std::string& node, Ms now) const {
     auto refused = refused_until_.find(node);
     return !in_outage(now) && (refused == refused_until_.end() || now >= refused->second);
@@ -16,14 +38,14 @@
     }
 }
 
-void StateService::drop_lease(std::uint64_t lease) {
+void StateService::drop_lease(Ms now, std::uint64_t lease) {
     leases_.erase(lease);
     for (auto row = rows_.begin(); row != rows_.end();) {
         if (row->second.lease != lease) {
             ++row;
             continue;
         }
-        log_.push_back({row->first, std::nullopt, ++revision_});
+        log(now, {row->first, std::nullopt, ++revision_});
         row = rows_.erase(row);
     }
 }
@@ -39,7 +61,7 @@
         }
     }
     for (std::uint64_t id : over) {
-        drop_lease(id);
+        drop_lease(now, id);
     }
 }
 
@@ -124,9 +146,9 @@
     for (const Write& write : txn.writes) {
         if (write.value) {
             rows_[write.key] = {*write.value, revision_, write.lease};
-            log_.push_back({write.key, *write.value, revision_});
+            log(now, {write.key, *write.value, revision_});
         } else if (rows_.erase(write.key) > 0) {
-            log_.push_back({write.key, std::nullopt, revision_});
+            log(now, {write.key, std::nullopt, revision_});
         }
     }
     reply.revision = revision_;
@@ -167,7 +189,7 @@
             break;
         }
         case StateVerb::lease_drop:
-            drop_lease(call.lease);
+            drop_lease(now, call.lease);
             break;
         case StateVerb::txn:
             transact(now, call.txn, reply);
--- a/tests/standin/state_service.hpp
+++ b/tests/standin/state_service.hpp
@@ -17,6 +17,11 @@
     // changed so far; waiting is up to the caller.
     StateReply execute(Ms now, const std::string& node, const StateCall& call);
 
+    // Values that stand there from the beginning.
+    void store(const std::map<std::string, Json>& values);
+    // Every value that the key has had, and since when.
+    std::vector<std::pair<Ms, Json>> history(const std::string& key) const;
+
     // Refuses everybody for so long. Afterwards all leases have their full time again.
     void begin_outage(Ms now, Ms span);
     // Refuses one controller until then; its leases run on.
@@ -43,7 +48,7 @@
     static constexpr std::size_t kPageSize = 7;
 
     void expire(Ms now);
-    void drop_lease(std::uint64_t lease);
+    void drop_lease(Ms now, std::uint64_t lease);
     void get(const std::string& key, StateReply& reply) const;
     void list(const StateCall& call, StateReply& reply) const;
     void transact(Ms now, const Txn& txn, StateReply& reply);
@@ -52,7 +57,9 @@
 
     std::map<std::string, Row> rows_;
     std::map<std::uint64_t, Lease> leases_;
+    void log(Ms now, StateRow row);
     std::vector<StateRow> log_;
+    std::vector<Ms> logged_at_;
     std::uint64_t revision_ = 0;
     std::uint64_t next_lease_ = 1;
     Ms out_until_ = -1;
--- a/tests/standin/users.cpp
+++ b/tests/standin/users.cpp
@@ -48,8 +48,9 @@
     q.spec = j.spec;
     q.spec.team = kNone;
     q.team_name = j.team;
-    q.lane_name = "l" + std::to_string(j.spec.tasks % 3);
-    q.image_name = "img-" + std::to_string(j.spec.tasks % 4);
+    q.lane_name =
+        j.job_class.empty() ? "l" + std::to_string(j.spec.tasks % 3) : std::string(j.job_class);
+    q.image_name = j.image();
     q.zone_named = !j.zone.empty();
     q.zone_name = j.zone;
     q.kinds_named = !j.any_kind;
--- a/tests/standin/world.cpp
+++ b/tests/standin/world.cpp
@@ -8,6 +8,7 @@
 namespace walkford::standin {
 
 World::World(Options options) : o_(std::move(options)), rng_(o_.seed), injector_(*this) {
+    zones_ = o_.zones;
     platform_.zones = zones_;
     platform_.teams = {{"red", {16, 1, 0}, {40, 4, 0}}, {"blue", {16, 2, 0}, {0, 0, 0}}};
     platform_.report_s = kReport;
@@ -29,11 +30,13 @@
     policy_.settle_s = 0.3;
     policy_.idle_hold_s = 1.5;
     kind_names_ = {"small", "big"};
-    kinds_ = {{0, {8, 0, 32}, 50, 1, 0.4, 0.1, 4, {0, 1}},
-              {1, {32, 4, 128}, 50, 1, 4, 1, 5, {0, 1}}};
+    policy_.zone_failover = o_.zone_failover;
+    kinds_ = {{0, {8, 0, 32}, 50, 1, 0.4, 0.1, 4, {}}, {1, {32, 4, 128}, 50, 1, 4, 1, 5, {}}};
     state_ = std::make_unique<StateService>();
     state_->set_limits(platform_.state_limits);
+    state_->store(o_.stored);
     cloud_ = std::make_unique<Cloud>();
+    cloud_->room_per_option = o_.cloud_room;
     for (std::size_t i = 0; i < o_.nodes; ++i) {
         hosts_.push_back(std::make_unique<Host>());
     }
@@ -80,6 +83,8 @@
     }
     plan_users();
     plan_services();
+    plan_work();
+    plan_zone_losses();
     if (o_.rollout_at >= 0) {
         plan_rollout();
     }
--- a/tests/standin/world.hpp
+++ b/tests/standin/world.hpp
@@ -17,6 +17,52 @@
 
 namespace walkford::standin {
 
+// A zone that is lost for a while: nothing reaches its machines and controllers, or leaves them.
+struct ZoneLoss {
+    Ms at = 0;
+    Ms span = 0;
+    std::string zone = {};
+    double share = 1;    // of its machines; its controllers go with all of them only
+    bool cold = false;   // its machines are gone for good, its controllers start anew
+    bool rents = false;  // the cloud goes on renting there, but nothing comes up meanwhile
+    bool controllers = true;
+};
+
+// Jobs alike that users submit at one moment.
+struct PlannedWork {
+    Ms at = 0;
+    std::string job_class = {};
+    int jobs = 1;
+    std::uint32_t tasks = 1;
+    double cpus = 4;
+    Ms run_ms = 20000;
+    JobShape shape = JobShape::batch;
+    Priority priority = Priority::normal;
+    std::string zone = {};  // the only allowed one; empty: any
+    bool spread = false;
+    bool one_zone = false;
+    Ms cancel_at = -1;
+};
+
+// What happened to one attempt of a task on a machine.
+struct TaskEvent {
+    enum class What : std::uint8_t { ordered, began, ended };
+    Ms at = 0;
+    What what = What::began;
+    std::string job, job_class;
+    std::uint32_t task = 0;
+    std::uint32_t attempt = 0;
+    std::string zone, machine;
+};
+
+// An image fetch began: how many were then under way.
+struct FetchEvent {
+    Ms at = 0;
+    std::string zone;
+    int in_zone = 0;
+    int on_machine = 0;
+};
+
 struct Options {
     std::uint64_t seed = 1;
     Ms duration = 150000;
@@ -49,6 +95,14 @@
     bool one_stays_old = false;  // the last controller is not upgraded on this day
     // From then on the state service's limits are lower; the settings told so from the start.
     Ms limits_fall_at = -1;
+    std::vector<std::string> zones{"a", "b"};
+    std::vector<ZoneLoss> zone_losses = {};
+    std::vector<PlannedWork> work = {};
+    std::vector<Ms> leader_ends_at = {};
+    int cloud_room = 4;  // machines of a kind, zone and sort that the cloud has
+    ZoneFailoverSettings zone_failover = {};
+    // What stands in the state service before anybody starts.
+    std::map<std::string, Json> stored = {};
     // Mutations: each takes one guard away, and the checks must then find a broken rule.
     bool strip_fence = false;    // transactions lose their conditions
     bool hide_relays = false;    // leaders don't see who answers workers for them
@@ -66,6 +120,9 @@
     const StateService& state() const { return *state_; }
 
     std::vector<std::string> violations;
+    std::vector<TaskEvent> history;
+    std::vector<FetchEvent> fetches;
+    std::vector<std::pair<Ms, std::string>> rentals;  // each machine: when, and in which zone
     int started = 0;
     int jobs_done = 0;
     int elections = 0;
@@ -137,6 +194,14 @@
     void list_machines(const std::string& after, CloudReply& reply);
     std::optional<WorkerReply> obey(const WorkerCall& c);
     void plan_faults();
+    void plan_zone_losses();
+    void lose_zone(const ZoneLoss& loss);
+    Ms zone_dark_until(const std::string& zone) const;
+    void plan_work();
+    void note(const Worker& worker, const Running& task, TaskEvent::What what);
+    void begin_fetch(Worker& worker, const std::string& image);
+    static void end_fetch(Worker& worker, const std::string& image);
+    static void forget_images(Worker& worker);
     void split();
     void gap();
     void gap_outage();
@@ -177,7 +242,7 @@
     void plan_rollout();
     void plan_lower_limits();
     std::uint32_t feature_level(std::size_t i) const;
-    const std::string& zone_of_controller(std::size_t i) const { return zones_[i % 2]; }
+    const std::string& zone_of_controller(std::size_t i) const { return zones_[i % zones_.size()]; }
     std::size_t replicas_up(const std::string& id) const;
     void end_replica_sometimes(Worker& w, const Running& r);
     void submit(const std::string& id);
@@ -208,7 +273,8 @@
     Policy policy_;
     std::vector<Kind> kinds_;  // ids are indices into kind_names_
     std::vector<std::string> kind_names_;
-    std::vector<std::string> zones_{"a", "b"};
+    std::vector<std::string> zones_;
+    std::map<std::string, ZoneLoss> lost_zones_;  // the last loss of each
     std::unique_ptr<StateService> state_;
     std::unique_ptr<Cloud> cloud_;
     std::map<std::string, std::unique_ptr<Worker>> workers_;
--- /dev/null
+++ b/tests/standin/zone_losses.cpp
@@ -0,0 +1,123 @@
+// Zones of the simulated world that are lost for a while, and the work that is planned to show what
+// becomes of it.
+#include <algorithm>
+
+#include "standin/entities.hpp"
+#include "standin/world.hpp"
+
+namespace walkford::standin {
+
+void World::plan_zone_losses() {
+    for (const ZoneLoss& loss : o_.zone_losses) {
+        well_since_ = std::max(well_since_, loss.at + loss.span);
+        at(loss.at, [this, loss] { lose_zone(loss); });
+    }
+    for (Ms when : o_.leader_ends_at) {
+        at(when, [this] { restart(leader_or(0), 2000, 4000); });
+    }
+}
+
+void World::lose_zone(const ZoneLoss& loss) {
+    lost_zones_[loss.zone] = loss;
+    std::vector<std::string> machines;
+    for (const auto& [name, worker] : workers_) {
+        if (worker->zone == loss.zone) {
+            machines.push_back(name);
+        }
+    }
+    auto hit = static_cast<std::size_t>(loss.share * static_cast<double>(machines.size()));
+    for (std::size_t i = 0; i < hit; ++i) {
+        if (loss.cold) {
+            kill_machine(machines[i]);
+        } else {
+            cut(machines[i], "*", loss.span, false);
+        }
+    }
+    for (std::size_t i = 0; loss.controllers && loss.share >= 1 && i < o_.nodes; ++i) {
+        if (zone_of_controller(i) != loss.zone) {
+            continue;
+        }
+        if (loss.cold) {
+            restart(i, loss.span, loss.span + 1000);
+        } else {
+            cut("n" + std::to_string(i), "*", loss.span, false);
+        }
+    }
+}
+
+// Until when nothing in the zone comes up; -1: it is not lost.
+Ms World::zone_dark_until(const std::string& zone) const {
+    auto it = lost_zones_.find(zone);
+    if (it == lost_zones_.end() || it->second.share < 1) {
+        return -1;
+    }
+    Ms until = it->second.at + it->second.span;
+    return now_ < until ? until : -1;
+}
+
+void World::plan_work() {
+    int number = 0;
+    for (const PlannedWork& work : o_.work) {
+        for (int n = 0; n < work.jobs; ++n) {
+            auto job = std::make_unique<Job>();
+            JobSpec& s = job->spec;
+            s.id = "j-6" + std::to_string(100000 + number++);
+            s.shape = work.shape;
+            s.tasks = work.tasks;
+            s.priority = work.priority;
+            s.each = {work.cpus, 0, 2};
+            s.spread = work.spread;
+            s.one_zone = work.one_zone;
+            s.image_gb = 1;
+            s.checkpoint_s = 0;
+            s.deadline_s = -1;
+            job->zone = work.zone;
+            job->team = "blue";
+            job->job_class = work.job_class;
+            job->any_kind = false;
+            job->kinds = {"small"};
+            job->run_ms = work.run_ms + pick(0, work.run_ms / 4);
+            s.estimate_s = static_cast<double>(job->run_ms) / 1000.0;
+            job->done.assign(s.tasks, false);
+            job->progress.assign(s.tasks, 0);
+            job->give_up = work.at + 60000;
+            std::string id = s.id;
+            jobs_[id] = std::move(job);
+            at(work.at + 20 * n, [this, id] { submit(id); });
+            if (work.cancel_at >= 0) {
+                at(work.cancel_at + 20 * n, [this, id] { cancel(id); });
+            }
+        }
+    }
+}
+
+void World::note(const Worker& worker, const Running& task, TaskEvent::What what) {
+    const Job& job = *jobs_.at(task.job);
+    history.push_back(
+        {now_, what, task.job, job.job_class, task.task, task.attempt, worker.zone, worker.name});
+}
+
+// An image that the machine does not hold yet is fetched from now until it is there.
+void World::begin_fetch(Worker& worker, const std::string& image) {
+    if (worker.images.count(image) > 0 || worker.fetching.count(image) > 0) {
+        return;
+    }
+    worker.fetching.insert(image);
+    int in_zone = 0;
+    for (const auto& [name, other] : workers_) {
+        in_zone += other->zone == worker.zone ? static_cast<int>(other->fetching.size()) : 0;
+    }
+    fetches.push_back({now_, worker.zone, in_zone, static_cast<int>(worker.fetching.size())});
+}
+
+void World::end_fetch(Worker& worker, const std::string& image) {
+    worker.fetching.erase(image);
+    worker.images.insert(image);
+}
+
+void World::forget_images(Worker& worker) {
+    worker.images.clear();
+    worker.fetching.clear();
+}
+
+}  // namespace walkford::standin
