--- a/src/coordination/policy.hpp
+++ b/src/coordination/policy.hpp
@@ -13,15 +13,15 @@
 
 // The operators' own settings (properties); the defaults stand in deploy/walkford.properties.
 struct Policy {
-    double mark_low = 0.30;
-    double mark_high = 0.85;
-    double out_interval_s = 4;
-    double in_interval_s = 2;
+    double mark_low = 0.80;
+    double mark_high = 0.95;
+    double out_interval_s = 1;
+    double in_interval_s = 0.2;
     std::uint32_t cap_per_kind = 10000;
     std::uint32_t permanent_first = 1;
     std::string order = "cost";  // cost | cores
     bool rent_unplaceable = true;
-    double unplaceable_after_s = 0.5;
+    double unplaceable_after_s = 6;
     double spot_prefer = 1.0;  // 0: never rent spot
     double idle_cost = 0.05;
     double boot_give_up = 3.5;
@@ -33,8 +33,8 @@
     double takeover_probe_s = 5;
     double unseen_return_s = 45;
     double deaf_return_s = 25;
-    double settle_s = 0;
-    double idle_hold_s = 0;
+    double settle_s = 0.4;
+    double idle_hold_s = 2.5;
     bool preempt = true;
     double preempt_after_s = 2;
     std::uint32_t keep_slots = 2;
@@ -44,6 +44,8 @@
     double opportunity_cost_s = 20;
     std::string place_order = "aim";  // aim | age
     ZoneFailoverSettings zone_failover;
+
+    bool operator==(const Policy&) const = default;
 };
 
 struct Peer {
--- a/src/coordination/worker_manager.hpp
+++ b/src/coordination/worker_manager.hpp
@@ -24,6 +24,9 @@
     bool usable(const Machine& m, Ms now) const;
 
   private:
+    // Answers not taken in, in a row, from which on a machine gets nothing more.
+    static constexpr std::uint32_t kDeafAfter = 2;
+
     // A report whose answer waits a little for what it should carry: `run` travels in answers only,
     // and the next one comes a report interval later.
     struct HeldReport {
--- a/src/coordination/zone_failover/settings.hpp
+++ b/src/coordination/zone_failover/settings.hpp
@@ -37,6 +37,8 @@
 
     double hold_s = 30;
     double wait_most_s = 45;
+
+    bool operator==(const ZoneFailoverSettings&) const = default;
 };
 
 }  // namespace walkford
--- /dev/null
+++ b/src/protocol/cloud_wire.cpp
@@ -0,0 +1,121 @@
+// Calls to the cloud and its answers.
+#include <spdlog/spdlog.h>
+
+#include "protocol/wire.hpp"
+#include "protocol/wire_fields.hpp"
+
+namespace walkford::protocol {
+
+namespace {
+constexpr PackLimits kCloudLimits{std::size_t{1024} * 1024, std::size_t{64} * 1024, 16};
+}
+
+HttpCall encode(const CloudCall& c) {
+    HttpCall h;
+    switch (c.verb) {
+        case CloudVerb::kinds:
+            h.path = "/flavors";
+            break;
+        case CloudVerb::hire:
+            h.method = Method::post;
+            h.path = "/machines";
+            h.body = pack(Json{{"hire", c.hire},
+                               {"build", c.kind},
+                               {"yard", c.zone},
+                               {"loaners", c.spot},
+                               {"howMany", c.count}});
+            break;
+        case CloudVerb::give_back:
+            h.method = Method::post;
+            h.path = "/machines/return";
+            h.body = pack(Json{{"walkers", c.names}});
+            break;
+        case CloudVerb::list:
+            h.path = "/machines?most=500";
+            if (!c.after.empty()) {
+                h.path += "&after=" + c.after;
+            }
+            break;
+    }
+    return h;
+}
+
+CloudReply decode_cloud(const CloudCall& c, int code, std::string_view body, Names& names) {
+    CloudReply r;
+    r.call = c.call;
+    r.status = code;
+    if (code == 0) {
+        return r;
+    }
+    auto doc = unpack(body, kCloudLimits);
+    if (code == 503 && doc && doc->is_object() && !absent(*doc, "error")) {
+        // Only this answer says surely that nothing was rented; an outage says nothing.
+        const Json& e = (*doc)["error"];
+        r.more = e.is_string() && e.get<std::string>() == "no capacity";
+    }
+    if (code != 200) {
+        return r;
+    }
+    if (c.verb == CloudVerb::give_back) {
+        return r;
+    }
+    try {
+        if (!doc || !doc->is_object()) {
+            throw BadField{"not a map"};
+        }
+        const Json& b = *doc;
+        if (c.verb == CloudVerb::kinds) {
+            for (const Json& k : need(b, "builds")) {
+                Kind kind;
+                kind.id = names.kinds.intern(text(k, "name"));
+                kind.size = {decimal(k, "vcpus"), decimal(k, "gpus"), decimal(k, "ramGb")};
+                kind.cache_gb = decimal(k, "cacheGb");
+                kind.fetch_gb_per_s = decimal(k, "fetchGbPerS");
+                kind.price = decimal(k, "price");
+                kind.spot_price = absent(k, "lowPrice") ? 0 : decimal(k, "lowPrice");
+                kind.boot_s = decimal(k, "readyS");
+                for (const Json& z : need(k, "yards")) {
+                    kind.zones.push_back(names.zones.intern(z.get<std::string>()));
+                }
+                r.kinds.push_back(std::move(kind));
+            }
+        } else if (c.verb == CloudVerb::hire) {
+            for (const Json& n : need(b, "walkers")) {
+                r.names.push_back(n.get<std::string>());
+            }
+        } else {
+            for (const Json& w : need(b, "walkers")) {
+                CloudMachine m;
+                m.name = text(w, "uid");
+                m.address = absent(w, "endpoint") ? "" : text(w, "endpoint");
+                m.kind = text(w, "build");
+                m.zone = text(w, "yard");
+                m.spot = truth(w, "loaners");
+                m.age_s = absent(w, "heldS") ? 0 : decimal(w, "heldS");
+                std::string status = text(w, "status");
+                if (status == "booting") {
+                    m.status = CloudStatus::booting;
+                } else if (status == "failed") {
+                    m.status = CloudStatus::failed;
+                } else {
+                    if (status != "running") {
+                        spdlog::warn("machine status '{}' not known", status);
+                    }
+                    m.status = CloudStatus::running;
+                }
+                r.machines.push_back(std::move(m));
+            }
+            r.more = !absent(b, "truncated") && b["truncated"].is_boolean() &&
+                     b["truncated"].get<bool>();
+        }
+    } catch (const BadField& e) {
+        spdlog::warn("answer of the cloud not understood: {}", e.what);
+        r = CloudReply{c.call, 0, {}, {}, {}, false};
+    } catch (const Json::exception&) {
+        spdlog::warn("answer of the cloud not understood");
+        r = CloudReply{c.call, 0, {}, {}, {}, false};
+    }
+    return r;
+}
+
+}  // namespace walkford::protocol
--- a/src/protocol/properties_file.cpp
+++ b/src/protocol/properties_file.cpp
@@ -236,6 +236,15 @@
     return policy;
 }
 
+std::vector<std::string> property_names() {
+    Policy policy;
+    std::vector<std::string> names;
+    for (const auto& [name, property] : properties_of(policy)) {
+        names.push_back(name);
+    }
+    return names;
+}
+
 void note_unknown_classes(const Policy& policy, const Platform& platform,
                           std::vector<std::string>& notes) {
     for (const std::string& name : policy.zone_failover.order) {
--- a/src/protocol/properties_file.hpp
+++ b/src/protocol/properties_file.hpp
@@ -13,6 +13,9 @@
 // so. Throws SettingsError with the file and the field.
 Policy load_policy(const std::vector<std::string>& paths, std::vector<std::string>& notes);
 
+// All properties there are.
+std::vector<std::string> property_names();
+
 // Classes of jobs that the properties name and no objective does: accepted, as classes come and go.
 void note_unknown_classes(const Policy& policy, const Platform& platform,
                           std::vector<std::string>& notes);
--- /dev/null
+++ b/src/protocol/state_wire.cpp
@@ -0,0 +1,142 @@
+// Calls to the state service and its answers.
+#include <spdlog/spdlog.h>
+
+#include "protocol/wire.hpp"
+#include "protocol/wire_fields.hpp"
+
+namespace walkford::protocol {
+
+namespace {
+constexpr PackLimits kStateLimits{std::size_t{8} * 1024 * 1024, std::size_t{1024} * 1024, 32};
+}
+
+HttpCall encode(const StateCall& c) {
+    HttpCall h;
+    switch (c.verb) {
+        case StateVerb::get:
+            h.path = "/keys/" + c.key;
+            break;
+        case StateVerb::list:
+            h.path = "/keys?prefix=" + c.key;
+            if (!c.after_key.empty()) {
+                h.path += "&after=" + c.after_key;
+            }
+            h.path += "&most=400";
+            break;
+        case StateVerb::changes:
+            h.path = "/changes?prefix=" + c.key + "&after=" + std::to_string(c.after) +
+                     "&blockMs=" + std::to_string(c.wait_ms);
+            break;
+        case StateVerb::lease_grant:
+            h.method = Method::post;
+            h.path = "/leases";
+            h.body = pack(Json{{"lifeMs", c.ttl_ms}});
+            break;
+        case StateVerb::lease_touch:
+            h.method = Method::post;
+            h.path = "/leases/" + std::to_string(c.lease) + "/touch";
+            h.body = pack(Json::object());
+            break;
+        case StateVerb::lease_drop:
+            h.method = Method::del;
+            h.path = "/leases/" + std::to_string(c.lease);
+            break;
+        case StateVerb::txn: {
+            h.method = Method::post;
+            h.path = "/txn";
+            Json conditions = Json::array();
+            for (const Condition& k : c.txn.conditions) {
+                conditions.push_back(Json{{"k", k.key}, {"stamp", k.stamp}});
+            }
+            Json writes = Json::array();
+            for (const Write& w : c.txn.writes) {
+                if (!w.value) {
+                    writes.push_back(Json{{"drop", w.key}});
+                    continue;
+                }
+                Json v{{"write", w.key}, {"value", *w.value}};
+                if (w.lease != 0) {
+                    v["permit"] = w.lease;
+                }
+                writes.push_back(std::move(v));
+            }
+            h.body = pack(Json{{"if", std::move(conditions)}, {"writes", std::move(writes)}});
+            break;
+        }
+    }
+    return h;
+}
+
+StateReply decode_state(const StateCall& c, int code, std::string_view body) {
+    StateReply r;
+    r.call = c.call;
+    r.status = code;
+    if (code == 0 || code == 429 || code == 503) {
+        return r;
+    }
+    if (body.empty() && (code == 204 || c.verb == StateVerb::lease_drop)) {
+        return r;
+    }
+    auto doc = unpack(body, kStateLimits);
+    if (!doc || !doc->is_object()) {
+        // Whatever it meant, it may have been executed.
+        if (code == 200) {
+            r.status = 0;
+        }
+        return r;
+    }
+    const Json& b = *doc;
+    try {
+        if (!absent(b, "ledgerRev")) {
+            r.revision = whole(b, "ledgerRev", "");
+        }
+        if (!absent(b, "failed")) {
+            for (const Json& f : b["failed"]) {
+                r.failed.push_back(f.get<std::string>());
+            }
+        }
+        if (code != 200) {
+            return r;
+        }
+        switch (c.verb) {
+            case StateVerb::get:
+                r.rows.push_back({text(b, "k"), need(b, "value"), whole(b, "stamp", "")});
+                break;
+            case StateVerb::list:
+                for (const Json& row : need(b, "rows")) {
+                    r.rows.push_back({text(row, "k"), need(row, "value"), whole(row, "stamp", "")});
+                }
+                r.more = !absent(b, "truncated") && b["truncated"].is_boolean() &&
+                         b["truncated"].get<bool>();
+                break;
+            case StateVerb::changes:
+                for (const Json& e : need(b, "events")) {
+                    if (!absent(e, "write")) {
+                        r.rows.push_back(
+                            {text(e, "write"), need(e, "value"), whole(e, "stamp", "")});
+                    } else if (!absent(e, "drop")) {
+                        r.rows.push_back({text(e, "drop"), std::nullopt, whole(e, "stamp", "")});
+                    } else {
+                        spdlog::warn("unknown event from the state service ignored");
+                    }
+                }
+                break;
+            case StateVerb::lease_grant:
+                r.lease = whole(b, "permit", "");
+                break;
+            default:
+                break;
+        }
+    } catch (const BadField& e) {
+        spdlog::warn("answer of the state service not understood: {}", e.what);
+        r.status = 0;
+        r.rows.clear();
+    } catch (const Json::exception&) {
+        spdlog::warn("answer of the state service not understood");
+        r.status = 0;
+        r.rows.clear();
+    }
+    return r;
+}
+
+}  // namespace walkford::protocol
--- a/tests/leader_test.cpp
+++ b/tests/leader_test.cpp
@@ -9,13 +9,14 @@
 
 #include "coordination/node.hpp"
 #include "coordination/view_keeper.hpp"
+#include "test_policy.hpp"
 
 namespace walkford {
 namespace {
 
 struct Bench {
     Platform platform;
-    Policy policy;
+    Policy policy = test_policy();
     std::unique_ptr<Core> core;
     std::unique_ptr<Leader> leader;
     Ms now = 1000;
@@ -1273,7 +1274,7 @@
         platform.node_name = "n0";
         platform.zones = {"a"};
         platform.peers = {{"n1", ""}, {"n2", ""}};
-        node = std::make_unique<Node>(platform, Policy{}, 1);
+        node = std::make_unique<Node>(platform, test_policy(), 1);
     }
     // One turn; what the state service is asked it answers at once, in turns of their own.
     void turn(const std::vector<Input>& inputs) {
--- /dev/null
+++ b/tests/measure/zone_failover_measure.cpp
@@ -0,0 +1,87 @@
+// Plays days with a lost zone, with zone failover and without, and prints what happened as comma
+// separated values: one table to each file named on the command line.
+#include <spdlog/spdlog.h>
+
+#include <cstdlib>
+#include <fstream>
+#include <iostream>
+
+#include "standin/zone_days.hpp"
+
+namespace walkford::standin {
+namespace {
+
+constexpr int kUsage = 2;
+
+double seconds(Ms span) { return static_cast<double>(span) / 1000.0; }
+
+// Attempts beyond each task's first.
+std::size_t restarts(const World& world) {
+    std::map<std::pair<std::string, std::uint32_t>, std::size_t> starts;
+    for (const TaskEvent& event : world.history) {
+        starts[{event.job, event.task}] += event.what == TaskEvent::What::began;
+    }
+    std::size_t count = 0;
+    for (const auto& [task, times] : starts) {
+        count += times > 0 ? times - 1 : 0;
+    }
+    return count;
+}
+
+struct Tables {
+    std::ofstream moved;    // when displaced jobs were started again
+    std::ofstream fetched;  // image fetches in the zone that returned cold
+    std::ofstream days;     // one row a day
+};
+
+void measure(Tables& tables, const std::string& day, const std::string& variant, Options options) {
+    options.zone_failover.enabled = variant == "on";
+    std::uint64_t seed = options.seed;
+    World world(std::move(options));
+    world.run();
+    for (const auto& [job_class, times] : started_again(world, kLossAt, "a")) {
+        for (Ms at : times) {
+            tables.moved << day << ',' << variant << ',' << seed << ',' << job_class << ','
+                         << seconds(at - kLossAt) << '\n';
+        }
+    }
+    for (const FetchEvent& fetch : world.fetches) {
+        if (fetch.zone == "a" && fetch.at > kLossAt + kLossFor) {
+            tables.fetched << day << ',' << variant << ',' << seed << ','
+                           << seconds(fetch.at - kLossAt - kLossFor) << ',' << fetch.in_zone << ','
+                           << fetch.on_machine << '\n';
+        }
+    }
+    auto [in_zone, on_machine] = most_fetched(world);
+    tables.days << day << ',' << variant << ',' << seed << ',' << world.jobs_done << ','
+                << restarts(world) << ',' << in_zone << ',' << on_machine << ','
+                << world.violations.size() << '\n';
+}
+
+}  // namespace
+}  // namespace walkford::standin
+
+int main(int argc, char** argv) {
+    using namespace walkford::standin;
+    if (argc != 3) {
+        std::cerr << "usage: zone_failover_measure DIRECTORY SEEDS\n";
+        return kUsage;
+    }
+    spdlog::set_level(spdlog::level::off);
+    std::string directory = argv[1];
+    std::uint64_t seeds = std::strtoull(argv[2], nullptr, 10);
+    Tables tables{std::ofstream(directory + "/moved.csv"),
+                  std::ofstream(directory + "/fetched.csv"),
+                  std::ofstream(directory + "/days.csv")};
+    if (!tables.moved || !tables.fetched || !tables.days) {
+        std::cerr << "can't write to " << directory << "\n";
+        return EXIT_FAILURE;
+    }
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+        for (const char* variant : {"off", "on"}) {
+            measure(tables, "warm", variant, evacuation(seed));
+            measure(tables, "cold", variant, cold_return(seed));
+        }
+    }
+    return EXIT_SUCCESS;
+}
--- a/tests/protocol_test.cpp
+++ b/tests/protocol_test.cpp
@@ -1,7 +1,9 @@
 // The wire, the settings and the peers' frames, with what strangers and mistakes send.
 #include <gtest/gtest.h>
+#include <unistd.h>
 
 #include <cmath>
+#include <fstream>
 #include <limits>
 #include <random>
 
@@ -353,5 +355,75 @@
     EXPECT_NE(policy_refusal("leader.lease_s = soon\n").find("leader.lease_s"), std::string::npos);
 }
 
+// What is wrong is said with the file and the field.
+TEST(Properties, OfZoneFailoverAreChecked) {
+    EXPECT_EQ(policy_refusal("zone_failover.order = a, b\n"), "");
+    EXPECT_EQ(policy_refusal("zone_failover.order =\n"), "");
+    const std::vector<std::pair<std::string, std::string>> wrong{
+        {"zone_failover.order = a, b, a\n", "zone_failover.order"},
+        {"zone_failover.order = a,, b\n", "zone_failover.order"},
+        {"zone_failover.ramp.first_share = 1.5\n", "zone_failover.ramp.first_share"},
+        {"zone_failover.confirm_s = -1\n", "zone_failover.confirm_s"},
+        {"zone_failover.hold_s = long\n", "zone_failover.hold_s"},
+        {"zone_failover.recover_share = 0.6\n", "zone_failover.recover_share"},
+        {"zone_failover.lost_share = 0.4\n", "zone_failover.suspect_share"},
+        {"zone_failover.flap.reuse = 2\n", "zone_failover.flap.reuse"},
+        {"zone_failover.unheard_of = 1\n", "zone_failover.unheard_of"},
+    };
+    for (const auto& [text, field] : wrong) {
+        std::string said = policy_refusal(text);
+        EXPECT_NE(said.find(field), std::string::npos) << text << " -> " << said;
+        EXPECT_NE(said.find("properties "), std::string::npos) << "names the file: " << said;
+    }
+}
+
+TEST(Properties, OfTheLaterFileCountAndThatIsSaid) {
+    auto write = [](const std::string& path, const char* text) { std::ofstream(path) << text; };
+    std::string first = testing::TempDir() + "walkford-first-" + std::to_string(getpid());
+    std::string second = testing::TempDir() + "walkford-second-" + std::to_string(getpid());
+    write(first, "place.rise_s = 50\nplace.gather = 1\n");
+    write(second, "place.rise_s = 70\n");
+    std::vector<std::string> notes;
+    Policy policy = load_policy({first, second}, notes);
+    EXPECT_EQ(policy.rise_s, 70);
+    EXPECT_EQ(policy.gather, 1U);
+    ASSERT_EQ(notes.size(), 1U);
+    EXPECT_NE(notes[0].find("place.rise_s"), std::string::npos);
+    std::remove(first.c_str());
+    std::remove(second.c_str());
+}
+
+TEST(Properties, AClassThatNoObjectiveNamesIsNoted) {
+    Policy policy;
+    policy.zone_failover.order = {"known", "unknown"};
+    Platform platform;
+    platform.classes = {"known"};
+    std::vector<std::string> notes;
+    note_unknown_classes(policy, platform, notes);
+    ASSERT_EQ(notes.size(), 1U);
+    EXPECT_NE(notes[0].find("'unknown'"), std::string::npos);
+}
+
+std::string text_of(const std::string& path) {
+    std::ifstream file(path);
+    return {std::istreambuf_iterator<char>(file), {}};
+}
+
+TEST(Properties, OfTheDeploymentStateTheDefaults) {
+    std::vector<std::string> notes;
+    std::string general = std::string(WALKFORD_DEPLOY) + "/walkford.properties";
+    EXPECT_EQ(load_policy({general}, notes), Policy{});
+    std::string failover = std::string(WALKFORD_DEPLOY) + "/zone_failover.properties";
+    Policy switched_on;
+    switched_on.zone_failover.enabled = true;
+    switched_on.zone_failover.order = {"ledger-close", "risk-score"};
+    EXPECT_EQ(load_policy({general, failover}, notes), switched_on);
+    EXPECT_TRUE(notes.empty());
+    std::string stated = text_of(general) + text_of(failover);
+    for (const std::string& name : property_names()) {
+        EXPECT_NE(stated.find("\n" + name + " = "), std::string::npos) << name << " is not stated";
+    }
+}
+
 }  // namespace
 }  // namespace walkford::protocol
--- a/tests/registry_store_test.cpp
+++ b/tests/registry_store_test.cpp
@@ -8,6 +8,7 @@
 
 #include "coordination/leader.hpp"
 #include "standin/state_service.hpp"
+#include "test_policy.hpp"
 
 namespace walkford {
 namespace {
@@ -40,7 +41,7 @@
         platform.zones = {"a", "b", "c", "d"};
         platform.state_limits = limits;
         platform.next_state_limits = next_limits;
-        core = std::make_unique<Core>(platform, Policy{}, 1);
+        core = std::make_unique<Core>(platform, test_policy(), 1);
         core->cluster_level = level;
         core->state.set_leading(true);
         for (const StateRow& row : read_all()) {
--- a/tests/standin/world.cpp
+++ b/tests/standin/world.cpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 
 #include "standin/entities.hpp"
+#include "test_policy.hpp"
 
 namespace walkford::standin {
 
@@ -20,6 +21,7 @@
     platform_.cloud_rps = 10;
     platform_.list_lag_s = 2;
     platform_.wait_aims = {{"l0", 10}};
+    policy_ = test_policy();
     policy_.lease_ttl_s = 3;
     policy_.out_interval_s = 2;
     policy_.takeover_probe_s = 3;
