Machine registry: a write confirms only the machines that it named

Cause: when a registry write was confirmed, all machines that the registry held in memory at that moment were marked as durably registered, also those of a later grant whose write had not been sent. `run` was sent to them, and the next leader, which did not find them in the stored registry, started their tasks again.

Change: a write carries the names of the new machines that it contains, and its confirmation marks only those. The registry does this itself, so that no caller can ask for it at the wrong time. The new log lines: `machine NAME is durably registered` (debug), and the number of tasks queued again because their machines are not in the registry, in `leader term N started`.

Why it works: a write is conditional on the versions of its parts, so a confirmed one left exactly what it carried; a lost, late or refused one marks nothing.

--- a/src/bookkeeping/cluster_state.hpp
+++ b/src/bookkeeping/cluster_state.hpp
@@ -48,6 +48,8 @@
     std::vector<JobClassProfile> job_class_profiles;
     // Placement records that may differ from what the store holds.
     std::set<PlacementRecordRef> dirty;
+    // The number of loaded tasks whose stored placement names a machine that is not registered.
+    std::size_t tasks_on_unregistered_machines = 0;
 
     // Returns the index of a job, or kNone if the job is unknown.
     Id find_job(const std::string& id) const;
--- a/src/bookkeeping/cluster_state_records.cpp
+++ b/src/bookkeeping/cluster_state_records.cpp
@@ -82,6 +82,7 @@
         // The machine is no longer in the registry. It is removed from there only once it is known
         // to have terminated.
         loaded.phase = TaskPhase::pending;
+        ++tasks_on_unregistered_machines;
         return;
     }
     assign(ref, machine, record.attempt, now);
--- a/src/coordination/cloud/machine_list_reconciler.cpp
+++ b/src/coordination/cloud/machine_list_reconciler.cpp
@@ -101,7 +101,6 @@
     }
     spdlog::info("machine registry created with {} machines from the cloud's list, all permanent",
                  registry_.size());
-    registry_.confirm_registration_after_write();
     registry_.write(now);
 }
 
--- a/src/coordination/cloud/machine_registry.cpp
+++ b/src/coordination/cloud/machine_registry.cpp
@@ -144,6 +144,11 @@
     if (part_of_machine_.count(machine.name)) {
         return;
     }
+    unconfirmed_machines_.insert(machine.name);
+    add_to_part(machine);
+}
+
+void MachineRegistry::add_to_part(const RegisteredMachine& machine) {
     std::uint32_t index = part_for(machine);
     part_of_machine_[machine.name] = index;
     Part& part = parts_[index];
@@ -161,6 +166,7 @@
     parts_[found->second].machines.erase(name);
     mark_changed(found->second);
     part_of_machine_.erase(found);
+    unconfirmed_machines_.erase(name);
 }
 
 void MachineRegistry::mark_releasing(const std::string& name) {
@@ -190,8 +196,7 @@
     parts_[0].machines.clear();
     parts_[1];
     for (const auto& [name, machine] : moved) {
-        part_of_machine_.erase(name);
-        add_machine(machine);
+        add_to_part(machine);
     }
     mark_changed(0);
     spdlog::info("machine registry split into {} parts for {} machines", parts_.size(),
--- a/src/coordination/cloud/machine_registry.hpp
+++ b/src/coordination/cloud/machine_registry.hpp
@@ -9,6 +9,7 @@
 #pragma once
 
 #include <functional>
+#include <set>
 
 #include "bookkeeping/registry_record.hpp"
 #include "coordination/context/controller_context.hpp"
@@ -18,7 +19,8 @@
 
 // Holds the registry of the current leader and writes its changes to the store. Changes are made in
 // memory first. write(), called after changes and in each step of the leader, makes them durable,
-// and after_write() reports when they are. Owned by CloudManager.
+// and after_write() reports when they are. A machine counts as durably registered in the cluster
+// state once the store has confirmed a write that names it. Owned by CloudManager.
 class MachineRegistry {
   public:
     // Empty and not initialized. The context must outlive it.
@@ -68,11 +70,9 @@
 
     // Calls `callback` once all changes made so far are durable.
     void after_write(std::function<void(Ms)> callback);
-    // Once all changes made so far are durable, marks the registered machines as durably registered
-    // in the cluster state.
-    void confirm_registration_after_write();
     // Sends the changed parts to the store, unless a call is open or a retry is not due yet. Parts
-    // that do not fit into one transaction are left to the next call.
+    // that do not fit into one transaction are left to the next call. Once the store confirms the
+    // write, marks the new machines that it named as durably registered in the cluster state.
     void write(Ms now);
 
   private:
@@ -86,6 +86,11 @@
         ChangeNumber first_unanswered_change = 0;  // sent but not answered; 0: none
         bool deleting = false;                     // the open write deletes the part's key
     };
+    // What a write that was sent to the store contains.
+    struct SentWrite {
+        std::vector<std::uint32_t> parts;
+        std::vector<std::string> unconfirmed_machines;
+    };
     struct DurableCallback {
         ChangeNumber change = 0;
         std::function<void(Ms)> run;
@@ -104,14 +109,16 @@
     static std::size_t bytes_to_add(const Part& part, const RegisteredMachine& machine);
     bool has_space_for(const Part& part, const RegisteredMachine& machine) const;
     std::uint32_t part_for(const RegisteredMachine& machine);
+    void add_to_part(const RegisteredMachine& machine);
     Json encode(std::uint32_t index) const;
     std::size_t first_part_bytes() const;
 
     // Implemented in machine_registry_write.cpp: writing the parts to the store.
     std::vector<std::uint32_t> changed_parts() const;
     void send_write(const std::vector<std::uint32_t>& changed);
-    void on_write_response(Ms now, const std::vector<std::uint32_t>& sent,
-                           const StoreResponse& response);
+    std::vector<std::string> unconfirmed_machines_in(const std::vector<std::uint32_t>& parts) const;
+    void on_write_response(Ms now, const SentWrite& sent, const StoreResponse& response);
+    void confirm_registration(const std::vector<std::string>& machines);
     void refresh_versions(std::vector<std::string> stale_keys);
     void on_version_response(const std::string& key, const std::vector<std::string>& remaining_keys,
                              const StoreResponse& response);
@@ -122,6 +129,7 @@
     bool initialized_ = false;
     std::map<std::uint32_t, Part> parts_;  // part 0 always exists
     std::unordered_map<std::string, std::uint32_t> part_of_machine_;
+    std::set<std::string> unconfirmed_machines_;  // registered, but in no confirmed write yet
     std::vector<ScaleOutRequest> scale_out_requests_;
     std::uint64_t next_request_number_ = 1;
     bool first_scale_out_done_ = false;
--- a/src/coordination/cloud/machine_registry_write.cpp
+++ b/src/coordination/cloud/machine_registry_write.cpp
@@ -19,19 +19,6 @@
     durable_callbacks_.push_back({last_change_, std::move(callback)});
 }
 
-// No task may run on a machine that is not durably registered yet. A new leader would treat a
-// placement on it as one on a machine that is gone, and would start the task again.
-void MachineRegistry::confirm_registration_after_write() {
-    after_write([this](Ms) {
-        for (const RegisteredMachine& registered : machines()) {
-            Id machine = context_.cluster.find_machine(registered.name);
-            if (machine != kNone) {
-                context_.cluster.machines[machine].registration_durable = true;
-            }
-        }
-    });
-}
-
 void MachineRegistry::write(Ms now) {
     if (call_open_ || now < next_write_at_) {
         return;
@@ -68,7 +55,7 @@
 void MachineRegistry::send_write(const std::vector<std::uint32_t>& changed) {
     Transaction transaction;
     transaction.comparisons = {{keys::kLeader, context_.fencing_token}};
-    std::vector<std::uint32_t> sent;
+    SentWrite sent;
     std::size_t bytes = 0;
     for (std::uint32_t index : changed) {
         Part& part = parts_[index];
@@ -76,7 +63,7 @@
         part.bytes = value.dump().size();
         part.bytes_estimated = false;
         bytes += part.bytes;
-        if (bytes > kMaxTransactionBytes && !sent.empty()) {
+        if (bytes > kMaxTransactionBytes && !sent.parts.empty()) {
             break;
         }
         bool empty = index != 0 && part.machines.empty();
@@ -87,20 +74,32 @@
         part.first_unanswered_change = part.first_unsent_change;
         part.first_unsent_change = 0;
         part.deleting = empty;
-        sent.push_back(index);
+        sent.parts.push_back(index);
     }
+    sent.unconfirmed_machines = unconfirmed_machines_in(sent.parts);
     call_open_ = true;
-    auto handler = [this, sent](Ms now, const StoreResponse& response) {
+    auto handler = [this, sent = std::move(sent)](Ms now, const StoreResponse& response) {
         on_write_response(now, sent, response);
     };
     context_.controller.store.transaction(RequestPriority::placement, std::move(transaction),
                                           context_.while_leading(std::move(handler)));
 }
 
-void MachineRegistry::on_write_response(Ms now, const std::vector<std::uint32_t>& sent,
+std::vector<std::string> MachineRegistry::unconfirmed_machines_in(
+    const std::vector<std::uint32_t>& parts) const {
+    std::vector<std::string> machines;
+    for (const std::string& name : unconfirmed_machines_) {
+        if (std::find(parts.begin(), parts.end(), part_of_machine_.at(name)) != parts.end()) {
+            machines.push_back(name);
+        }
+    }
+    return machines;
+}
+
+void MachineRegistry::on_write_response(Ms now, const SentWrite& sent,
                                         const StoreResponse& response) {
     call_open_ = false;
-    for (std::uint32_t index : sent) {
+    for (std::uint32_t index : sent.parts) {
         Part& part = parts_[index];
         if (response.status == StoreStatus::ok) {
             part.version = part.deleting ? 0 : response.revision;
@@ -110,6 +109,7 @@
         part.first_unanswered_change = 0;
     }
     if (response.status == StoreStatus::ok) {
+        confirm_registration(sent.unconfirmed_machines);
         run_durable_callbacks(now);
         return;
     }
@@ -119,7 +119,7 @@
         spdlog::error(
             "the store rejected a write of {} parts of the machine registry as too large; next "
             "attempt in {} ms",
-            sent.size(), kTooLargeRetryDelay);
+            sent.parts.size(), kTooLargeRetryDelay);
     }
     if (response.status != StoreStatus::conflict || context_.depose_if_superseded(now, response)) {
         return;
@@ -129,6 +129,20 @@
     refresh_versions(response.failed);
 }
 
+// No task may run on a machine that is not durably registered yet. A new leader would treat a
+// placement on it as one on a machine that is gone, and would start the task again. So only the
+// machines that the confirmed write named are marked: the registry may hold others by now, whose
+// write has not been sent.
+void MachineRegistry::confirm_registration(const std::vector<std::string>& machines) {
+    for (const std::string& name : machines) {
+        Id machine = context_.cluster.find_machine(name);
+        if (unconfirmed_machines_.erase(name) > 0 && machine != kNone) {
+            context_.cluster.machines[machine].registration_durable = true;
+            spdlog::debug("machine {} is durably registered", name);
+        }
+    }
+}
+
 // Reads the versions of the keys from the store one at a time, starting with the last key.
 void MachineRegistry::refresh_versions(std::vector<std::string> stale_keys) {
     if (stale_keys.empty()) {
--- a/src/coordination/cloud/scale_out_requester.cpp
+++ b/src/coordination/cloud/scale_out_requester.cpp
@@ -154,7 +154,6 @@
     }
     registry_.remove_scale_out_request(request.name);
     context_.placement_requested = true;
-    registry_.confirm_registration_after_write();
     registry_.write(now);
 }
 
--- a/src/coordination/controller/leader.cpp
+++ b/src/coordination/controller/leader.cpp
@@ -48,8 +48,11 @@
     for (const Machine& machine : context_.cluster.machines) {
         placed_tasks += machine.tasks.size();
     }
-    spdlog::info("leader term {} started: {} jobs, {} machines, {} placed tasks", fencing_token,
-                 controller.replica.jobs().size(), context_.cluster.machines.size(), placed_tasks);
+    spdlog::info(
+        "leader term {} started: {} jobs, {} machines, {} placed tasks, {} tasks queued again "
+        "because their machines are not in the registry",
+        fencing_token, controller.replica.jobs().size(), context_.cluster.machines.size(),
+        placed_tasks, context_.cluster.tasks_on_unregistered_machines);
 }
 
 Leader::~Leader() { context_.controller.cloud.clear(); }
--- a/tests/leader_harness.hpp
+++ b/tests/leader_harness.hpp
@@ -4,6 +4,7 @@
 
 #include <spdlog/spdlog.h>
 
+#include <algorithm>
 #include <functional>
 #include <map>
 #include <memory>
@@ -112,6 +113,27 @@
     }
     // False: transactions are collected and get no response.
     bool complete_writes = true;
+    // Transactions that write this key are held in held_writes until the test answers them.
+    std::string held_key;
+    std::vector<StoreRequest> held_writes;
+    // Answers the oldest held write, as executed or with the given status.
+    void answer_held_write(StoreStatus status = StoreStatus::ok) {
+        StoreRequest request = std::move(held_writes.front());
+        held_writes.erase(held_writes.begin());
+        answer(request, status);
+        process_outputs();
+    }
+    void answer(const StoreRequest& request, StoreStatus status) {
+        StoreResponse response;
+        response.call = request.call;
+        response.status = status;
+        response.revision = ++revision;
+        context->store.reply(now, response);
+    }
+    bool holds(const Transaction& transaction) const {
+        return std::any_of(transaction.writes.begin(), transaction.writes.end(),
+                           [&](const Write& write) { return write.key == held_key; });
+    }
     // Processes what the leader has sent until nothing more follows.
     void process_outputs() {
         for (int round = 0; round < 20; ++round) {
@@ -134,14 +156,11 @@
                         continue;
                     }
                     written_transactions.push_back(store_request->transaction);
-                    if (!complete_writes) {
-                        continue;
+                    if (holds(store_request->transaction)) {
+                        held_writes.push_back(*store_request);
+                    } else if (complete_writes) {
+                        answer(*store_request, StoreStatus::ok);
                     }
-                    StoreResponse response;
-                    response.call = store_request->call;
-                    response.status = StoreStatus::ok;
-                    response.revision = ++revision;
-                    context->store.reply(now, response);
                 }
             }
         }
--- a/tests/machine_registry_test.cpp
+++ b/tests/machine_registry_test.cpp
@@ -6,8 +6,10 @@
 #include <spdlog/spdlog.h>
 
 #include <random>
+#include <utility>
 
 #include "coordination/controller/leader.hpp"
+#include "leader_harness.hpp"
 #include "standin/key_value_store.hpp"
 #include "test_operator_settings.hpp"
 
@@ -98,6 +100,58 @@
         }
     }
 
+    // Hands what is due to the store client and returns the transactions that it sends. Reads are
+    // executed and answered at once.
+    std::vector<StoreRequest> sent_transactions() {
+        std::vector<StoreRequest> sent;
+        registry->write(now);
+        context->store.send_queued(now, context->out);
+        Outputs outputs = std::move(context->out);
+        context->out.clear();
+        for (Output& output : outputs) {
+            auto* call = std::get_if<StoreRequest>(&output);
+            if (call && call->operation == StoreOperation::transaction) {
+                sent.push_back(std::move(*call));
+            } else if (call) {
+                context->store.reply(now, store.execute(now, "n0", *call));
+            }
+        }
+        return sent;
+    }
+
+    void answer_without_response(const StoreRequest& request) {
+        StoreResponse response;
+        response.call = request.call;
+        context->store.reply(now, response);
+    }
+
+    // Registers the machine and adds it to the cluster state, as the leader does.
+    void register_machine(const RegisteredMachine& machine) {
+        leader_context->cluster.add_machine(machine.name, machine.machine_type, machine.zone,
+                                            machine.spot, now);
+        registry->add_machine(machine);
+    }
+
+    bool durably_registered(const std::string& name) {
+        const ClusterState& cluster = leader_context->cluster;
+        return cluster.machines[cluster.find_machine(name)].registration_durable;
+    }
+
+    // The machines that the registry in the store names now.
+    std::set<std::string> machines_in_store() {
+        std::set<std::string> names;
+        for (const StoreEntry& entry : read_all_entries()) {
+            if (!keys::parse_registry_part(entry.key)) {
+                continue;
+            }
+            auto part = decode_registry(*entry.value, context->names);
+            for (const RegisteredMachine& machine : part->machines) {
+                names.insert(machine.name);
+            }
+        }
+        return names;
+    }
+
     RegisteredMachine make_machine(int number) {
         RegisteredMachine machine;
         machine.name = "host-" + std::to_string(100000 + number);
@@ -275,6 +329,153 @@
     EXPECT_EQ(changed_entries, 1);
 }
 
+// Guards against marking a machine as durably registered when an earlier write is confirmed that
+// did not name it yet.
+TEST_F(MachineRegistryTest, ConfirmsOnlyTheMachinesThatTheAnsweredWriteNamed) {
+    take_over(kFeatureServices);
+    registry->create();
+    RegisteredMachine first = make_machine(1);
+    RegisteredMachine second = make_machine(2);
+    register_machine(first);
+    std::vector<StoreRequest> first_write = sent_transactions();
+    ASSERT_EQ(first_write.size(), 1U);
+    register_machine(second);
+    context->store.reply(now, store.execute(now, "n0", first_write[0]));
+    EXPECT_TRUE(durably_registered(first.name));
+    EXPECT_FALSE(durably_registered(second.name));
+    std::vector<StoreRequest> second_write = sent_transactions();
+    ASSERT_EQ(second_write.size(), 1U);
+    answer_without_response(second_write[0]);
+    EXPECT_FALSE(durably_registered(second.name)) << "the write may not have been executed";
+    run_writes(1);
+    EXPECT_TRUE(durably_registered(second.name));
+}
+
+// Of random writes, some are answered late, some are executed without an answer, some are lost,
+// some are refused, and some are executed long after newer ones. A machine that counts as durably
+// registered must be in the stored registry at every moment, also while the registry is split.
+TEST_F(MachineRegistryTest, DurablyRegisteredMachinesAreAlwaysInTheStore) {
+    for (unsigned seed = 1; seed <= 10; ++seed) {
+        SCOPED_TRACE(seed);
+        std::mt19937 rng(seed);
+        store = standin::KeyValueStore();
+        StoreRequest write_leader;
+        write_leader.operation = StoreOperation::transaction;
+        write_leader.transaction.writes = {{keys::kLeader, encode_leader({"n0", "n0-1"}), 0}};
+        store.execute(now, "n0", write_leader);
+        set_limits({1000, 1000, 1, 3}, std::nullopt);
+        take_over(kFeatureServices);
+        registry->create();
+        std::set<std::string> registered;
+        std::vector<StoreRequest> open_writes;
+        std::vector<StoreRequest> late_writes;
+        int next_number = 0;
+        for (int step = 0; step < 400; ++step) {
+            now += 50;
+            for (int count = static_cast<int>(rng() % 4); count > 0; --count) {
+                RegisteredMachine machine = make_machine(next_number++);
+                register_machine(machine);
+                registered.insert(machine.name);
+            }
+            if (rng() % 6 == 0 && !registered.empty()) {
+                std::string removed = *registered.begin();
+                registered.erase(removed);
+                leader_context->cluster.forget_machine(
+                    leader_context->cluster.find_machine(removed));
+                registry->remove_machine(removed);
+            }
+            if (rng() % 40 == 0) {
+                registry->add_scale_out_request({"w1-" + std::to_string(step),
+                                                 context->names.machine_types.intern("chhota"), 0,
+                                                 false, 50, false});
+            }
+            for (StoreRequest& request : sent_transactions()) {
+                open_writes.push_back(std::move(request));
+            }
+            if (!open_writes.empty() && rng() % 2 == 0) {
+                StoreRequest request = std::move(open_writes.back());
+                open_writes.pop_back();
+                switch (rng() % 5) {
+                    case 0:  // lost, and perhaps executed later
+                        answer_without_response(request);
+                        late_writes.push_back(std::move(request));
+                        break;
+                    case 1:  // executed, but its answer is lost
+                        store.execute(now, "n0", request);
+                        answer_without_response(request);
+                        break;
+                    case 2:  // refused
+                        store.refuse("n0", now + 1);
+                        context->store.reply(now, store.execute(now, "n0", request));
+                        break;
+                    default:
+                        context->store.reply(now, store.execute(now, "n0", request));
+                }
+            }
+            if (!late_writes.empty() && rng() % 10 == 0) {
+                now += 2;
+                store.execute(now, "n0", late_writes.front());
+                late_writes.erase(late_writes.begin());
+            }
+            now += 2;
+            std::set<std::string> stored = machines_in_store();
+            for (const std::string& name : registered) {
+                ASSERT_TRUE(!durably_registered(name) || stored.contains(name))
+                    << "step " << step << ", machine " << name;
+            }
+        }
+        EXPECT_GT(std::count_if(registered.begin(), registered.end(),
+                                [&](const std::string& name) { return durably_registered(name); }),
+                  100)
+            << "too few confirmed writes for this test to show anything";
+    }
+}
+
+// Guards against running tasks twice: two scale-out requests are granted one after the other, and
+// the registry write that names the machine of the second one is not confirmed. A new leader would
+// not find that machine in the registry and would start its tasks elsewhere.
+TEST(MachineRegistration, TaskIsNotRunUntilTheWriteThatNamesItsMachineIsConfirmed) {
+    LeaderHarness harness;
+    harness.elect_with_machines({});
+    JobSpec job = harness.make_job_spec("j-1", 8, 2);
+    job.spread = true;
+    harness.submit_job(job);
+    harness.advance_time(5000);
+    harness.held_key = keys::kRegistry;
+    std::vector<std::string> granted;
+    const std::vector<CloudRequest> requests = std::exchange(harness.cloud_requests, {});
+    for (const CloudRequest& request : requests) {
+        if (request.operation == CloudOperation::scale_out) {
+            granted.push_back("host-" + std::to_string(granted.size() + 1));
+            CloudResponse response;
+            response.call = request.call;
+            response.status = CloudCallStatus::ok;
+            response.names = {granted.back()};
+            harness.context->cloud.reply(harness.now, response);
+            harness.process_outputs();
+        }
+    }
+    ASSERT_EQ(granted.size(), 2U);
+    ASSERT_EQ(harness.held_writes.size(), 1U);
+    harness.answer_held_write();
+    harness.advance_time(50);
+    ASSERT_EQ(harness.held_writes.size(), 1U) << "the write that names the second machine";
+    auto is_told_to_run = [&](const std::string& machine) {
+        bool told = false;
+        for (int report = 0; report < 4; ++report) {
+            for (const WorkerCommand& command : harness.heartbeat(machine)) {
+                told |= command.type == WorkerCommandType::run;
+            }
+            harness.advance_time(1000);
+        }
+        return told;
+    };
+    EXPECT_TRUE(is_told_to_run("host-1"));
+    EXPECT_FALSE(is_told_to_run("host-2")) << "no confirmed write names this machine yet";
+    harness.answer_held_write();
+    EXPECT_TRUE(is_told_to_run("host-2"));
+}
+
 // Guards against treating a part that can't be decoded as empty, which would let the leader request
 // and release machines without knowing those of that part.
 TEST_F(MachineRegistryTest, LoadFailsIfAPartCannotBeDecoded) {
