Job completion: the cached end of a job is the one that the write carried

Users could see: `done` with 0 tasks done, for display, of a job that was done.

Change: the open write carries the record that it stores, and its confirmation caches just that.

Before the fix: JobCompletion.CachesTheNumberOfTasksThatTheWriteCarried: ended->tasks Which is: 0 (expected 2) Result: passes, and 226 of 226 tests.

--- a/src/coordination/leader/job_completion.cpp
+++ b/src/coordination/leader/job_completion.cpp
@@ -45,12 +45,11 @@
 void JobCompletion::end_job(Id job_id, JobEnd end) {
     Job& job = context_.cluster.jobs[job_id];
     job.ending = true;
-    EndingJob ending{job_id, job.spec.id, end, {}};
+    EndingJob ending{job_id, job.spec.id, {end == JobEnd::cancelled, job.spec.tasks}, {}};
     Transaction transaction;
     transaction.comparisons = {{keys::kLeader, context_.fencing_token},
                                {keys::job(job.spec.id), job.version}};
-    transaction.writes = {{keys::finished_job(job.spec.id),
-                           encode_finished_job({end == JobEnd::cancelled, job.spec.tasks}), 0},
+    transaction.writes = {{keys::finished_job(job.spec.id), encode_finished_job(ending.record), 0},
                           {keys::job(job.spec.id), std::nullopt, 0}};
     std::size_t max_writes = context_.controller.store.limits().transaction_operations();
     for (std::uint32_t index = 0; index < job.placement_records.size(); ++index) {
@@ -79,11 +78,10 @@
     // Slots in the job table are reused, so this one may hold another job by now.
     bool job_exists = cluster.find_job(ending.name) == ending.job_id;
     if (response.status == StoreStatus::ok) {
-        bool cancelled = ending.end == JobEnd::cancelled;
         spdlog::info("job {} ended: {}", ending.name,
-                     cancelled ? "cancelled, no task is left on a machine" : "all tasks are done");
-        context_.controller.replica.cache_finished_job(
-            ending.name, {cancelled, job_exists ? cluster.jobs[ending.job_id].spec.tasks : 0});
+                     ending.record.cancelled ? "cancelled, no task is left on a machine"
+                                             : "all tasks are done");
+        context_.controller.replica.cache_finished_job(ending.name, ending.record);
         if (job_exists) {
             cluster.remove_job(ending.job_id);
         }
--- a/src/coordination/leader/job_completion.hpp
+++ b/src/coordination/leader/job_completion.hpp
@@ -32,7 +32,7 @@
     struct EndingJob {
         Id job_id = kNone;
         std::string name;
-        JobEnd end = JobEnd::done;
+        FinishedJobRecord record;
         std::vector<std::uint32_t> remaining_records;  // deleted after the transaction
     };
 
