Stored records: damaged values cause no exception

Users would see: every controller that reads a damaged value in the store ends, again and again.

Cause: counting the tasks of a placement record for a poll read numbers without a check; a job's number of tasks and of tasks per record, and the width of a machine's number in the registry, were not bounded.

Change: count_tasks() stands beside the decoder of the record and counts a damaged one as without tasks; decode_job() and decode_registry() refuse numbers beyond the limits.

--- a/src/bookkeeping/job_record.cpp
+++ b/src/bookkeeping/job_record.cpp
@@ -93,6 +93,12 @@
     }
 }
 
+// The cluster state allocates memory for all placement records of a job.
+bool counts_are_valid(const JobSpec& spec) {
+    return spec.tasks > 0 && spec.tasks <= kMaxJobTasks &&
+           spec.tasks_per_record <= kMaxJobTasks;
+}
+
 void decode_amounts(const Json& value, JobSpec& spec) {
     const Json& each = value.at(kResourcesEach);
     spec.task_resources = {each.at(0).get<double>(), each.at(1).get<double>(),
@@ -155,6 +161,9 @@
         spec.spot = (flags & kFlagSpot) != 0;
         decode_amounts(value, spec);
         decode_constraints(value, names, spec);
+        if (!counts_are_valid(spec)) {
+            return std::nullopt;
+        }
         return job;
     } catch (const Json::exception&) {
         return std::nullopt;
--- a/src/bookkeeping/placement_record.cpp
+++ b/src/bookkeeping/placement_record.cpp
@@ -42,6 +42,16 @@
         task.machine = machine;
     }
 }
+
+std::uint32_t count_in_ranges(const Json& ranges) {
+    std::uint32_t count = 0;
+    for (std::size_t i = 0; i + 1 < ranges.size(); i += 2) {
+        auto first = ranges.at(i).get<std::uint32_t>();
+        auto last = ranges.at(i + 1).get<std::uint32_t>();
+        count += last - first + 1;
+    }
+    return count;
+}
 }  // namespace
 
 Json encode_placement_record(const std::vector<TaskRecord>& tasks) {
@@ -93,4 +103,21 @@
     }
 }
 
+PlacementCounts count_tasks(const Json& value) {
+    try {
+        PlacementCounts counts;
+        if (auto done = value.find(kDone); done != value.end()) {
+            counts.done = count_in_ranges(*done);
+        }
+        if (auto machines = value.find(kMachines); machines != value.end()) {
+            for (const Json& tasks : *machines) {
+                counts.running += static_cast<std::uint32_t>(tasks.size() / 2);
+            }
+        }
+        return counts;
+    } catch (const Json::exception&) {
+        return {};
+    }
+}
+
 }  // namespace walkford
--- a/src/bookkeeping/placement_record.hpp
+++ b/src/bookkeeping/placement_record.hpp
@@ -26,4 +26,13 @@
 // undefined.
 bool decode_placement_record(const Json& value, std::vector<TaskRecord>& tasks);
 
+// The numbers of done and of placed tasks, for display to users.
+struct PlacementCounts {
+    std::uint32_t done = 0;
+    std::uint32_t running = 0;
+};
+// Counts the tasks of a stored value without decoding all of it. Both numbers are 0 if the value is
+// not such a record. Never throws.
+PlacementCounts count_tasks(const Json& value);
+
 }  // namespace walkford
--- a/src/bookkeeping/registry_record.cpp
+++ b/src/bookkeeping/registry_record.cpp
@@ -5,6 +5,7 @@
 #include <compare>
 #include <map>
 #include <set>
+#include <stdexcept>
 
 #include "bookkeeping/number_series.hpp"
 
@@ -51,11 +52,13 @@
 
 using Numbers = std::vector<std::uint64_t>;
 
+// The most digits of a machine's number; further ones belong to the prefix.
+constexpr int kMaxNumberDigits = 15;
+
 NumberedName split_name(const std::string& name) {
-    constexpr std::size_t kMaxDigits = 15;
     std::size_t prefix_length = name.size();
     while (prefix_length > 0 && name[prefix_length - 1] >= '0' && name[prefix_length - 1] <= '9' &&
-           name.size() - prefix_length < kMaxDigits) {
+           name.size() - prefix_length < std::size_t{kMaxNumberDigits}) {
         --prefix_length;
     }
     std::uint64_t number = 0;
@@ -164,7 +167,7 @@
     return rows;
 }
 
-// Decodes one stored value. Its functions throw Json::exception if the value has another structure,
+// Decodes one stored value. Its functions throw an exception if the value has another structure,
 // and return false or nullopt if a number series can't be decoded.
 class RegistryReader {
   public:
@@ -196,6 +199,15 @@
     }
     Id zone(const Json& index) { return names_.zones.intern(name(kZones, index)); }
 
+    // The width bounds the memory that a name takes.
+    static NameSeries read_series(const Json& row) {
+        NameSeries series{row.at(0).get<std::string>(), row.at(1).get<int>()};
+        if (series.width < 0 || series.width > kMaxNumberDigits) {
+            throw std::out_of_range("width of a machine's number");
+        }
+        return series;
+    }
+
     // Before version 0.2, rows contained the numbers themselves; version 0.2 wrote the differences
     // between successive numbers as decimal numbers.
     std::optional<Numbers> read_numbers(const Json& column) const {
@@ -213,7 +225,7 @@
 
     bool read_machines(std::vector<RegisteredMachine>& machines) {
         for (const Json& row : value_.at(kMachines)) {
-            NameSeries series{row.at(0).get<std::string>(), row.at(1).get<int>()};
+            NameSeries series = read_series(row);
             Id machine_type_id = machine_type(row.at(2));
             Id zone_id = zone(row.at(3));
             int flags = row.at(4).get<int>();
@@ -238,8 +250,8 @@
             if (!numbers) {
                 return false;
             }
+            NameSeries series = read_series(row);
             for (std::uint64_t number : *numbers) {
-                NameSeries series{row.at(0).get<std::string>(), row.at(1).get<int>()};
                 marked.insert(join_name(series, number));
             }
         }
@@ -284,7 +296,7 @@
 std::optional<RegistryRecord> decode_registry(const Json& value, Names& names) {
     try {
         return RegistryReader(value, names).read();
-    } catch (const Json::exception&) {
+    } catch (const std::exception&) {
         return std::nullopt;
     }
 }
--- a/src/bookkeeping/types.hpp
+++ b/src/bookkeeping/types.hpp
@@ -134,6 +134,9 @@
     service,  // independent replicas that run until the job is cancelled
 };
 
+// The largest number of tasks that a job may have.
+inline constexpr std::uint32_t kMaxJobTasks = 100000;
+
 // A job as it was submitted, with names replaced by indices.
 struct JobSpec {
     std::string id;
--- a/src/coordination/controller/user_requests.cpp
+++ b/src/coordination/controller/user_requests.cpp
@@ -96,7 +96,7 @@
         response.status = ended->cancelled ? JobStatus::cancelled : JobStatus::done;
         response.done = ended->cancelled ? 0 : ended->tasks;
     } else if (const StoredJob* stored_job = context_.replica.job(job.job_id)) {
-        StoreReplica::Counts counts = context_.replica.counts(job.job_id);
+        PlacementCounts counts = context_.replica.counts(job.job_id);
         response.done = counts.done;
         response.running = counts.running;
         response.status = stored_job->record.cancelled ? JobStatus::cancelled
--- a/src/coordination/store/store_replica.cpp
+++ b/src/coordination/store/store_replica.cpp
@@ -24,32 +24,6 @@
     }
     return true;
 }
-
-// Counts the done tasks of a placement record. Its "d" lists ranges of task numbers as alternating
-// first and last numbers.
-std::uint32_t count_done_tasks(const Json& record) {
-    std::uint32_t count = 0;
-    if (auto ranges = record.find("d"); ranges != record.end()) {
-        for (std::size_t i = 0; i + 1 < ranges->size(); i += 2) {
-            auto first = (*ranges)[i].get<std::uint32_t>();
-            auto last = (*ranges)[i + 1].get<std::uint32_t>();
-            count += last - first + 1;
-        }
-    }
-    return count;
-}
-
-// Counts the running tasks of a placement record. Its "m" lists the tasks of each machine, with two
-// numbers per task.
-std::uint32_t count_running_tasks(const Json& record) {
-    std::uint32_t count = 0;
-    if (auto machines = record.find("m"); machines != record.end()) {
-        for (const Json& tasks : *machines) {
-            count += static_cast<std::uint32_t>(tasks.size() / 2);
-        }
-    }
-    return count;
-}
 }  // namespace
 
 // Changes arrive by two paths, the watch and the snapshot. An older change must not undo a newer
@@ -325,15 +299,16 @@
     }
 }
 
-StoreReplica::Counts StoreReplica::counts(const std::string& job_id) const {
-    Counts counts;
+PlacementCounts StoreReplica::counts(const std::string& job_id) const {
+    PlacementCounts counts;
     const auto* records = placement_records(job_id);
     if (!records) {
         return counts;
     }
     for (const auto& [index, record] : *records) {
-        counts.done += count_done_tasks(record.value);
-        counts.running += count_running_tasks(record.value);
+        PlacementCounts of_record = count_tasks(record.value);
+        counts.done += of_record.done;
+        counts.running += of_record.running;
     }
     return counts;
 }
--- a/src/coordination/store/store_replica.hpp
+++ b/src/coordination/store/store_replica.hpp
@@ -51,13 +51,9 @@
     // Keeps the record of a finished job in memory.
     void cache_finished_job(const std::string& job_id, const FinishedJobRecord& record);
 
-    // The numbers of done and running tasks of a job.
-    struct Counts {
-        std::uint32_t done = 0;
-        std::uint32_t running = 0;
-    };
-    // Counts the tasks of a job in its placement records.
-    Counts counts(const std::string& job_id) const;
+    // Counts the tasks of a job in its placement records. A record that can't be decoded counts as
+    // one without tasks.
+    PlacementCounts counts(const std::string& job_id) const;
 
     std::optional<LeaderRecord> leader;
     std::uint64_t leader_version = 0;  // the leader's fencing token; 0 if there is no leader
--- a/src/protocol/user_codec.cpp
+++ b/src/protocol/user_codec.cpp
@@ -9,8 +9,6 @@
 
 namespace {
 
-constexpr std::uint32_t kMaxTasks = 100000;
-
 JobShape decode_shape(const std::string& shape) {
     if (shape == fields::kShapeArray) {
         return JobShape::array;
@@ -42,7 +40,7 @@
 
 std::uint32_t decode_task_count(const Json& body) {
     std::uint64_t tasks = unsigned_field(body, fields::kTaskCount);
-    if (tasks == 0 || tasks > kMaxTasks) {
+    if (tasks == 0 || tasks > kMaxJobTasks) {
         throw DecodeError::invalid(fields::kTaskCount);
     }
     return static_cast<std::uint32_t>(tasks);
--- a/tests/store_test.cpp
+++ b/tests/store_test.cpp
@@ -4,7 +4,9 @@
 #include <spdlog/spdlog.h>
 
 #include <algorithm>
+#include <random>
 
+#include "bookkeeping/registry_record.hpp"
 #include "coordination/context/controller_context.hpp"
 #include "coordination/store/store_watcher.hpp"
 #include "test_operator_settings.hpp"
@@ -48,6 +50,61 @@
     EXPECT_EQ(replica.job("j-1"), nullptr);
 }
 
+// Returns the value with one random node replaced by a value of another type or size.
+Json with_random_damage(const Json& value, std::mt19937& rng) {
+    static const Json kReplacements = Json::parse(
+        R"([null, true, -1, 1e300, 2147483647, 4294967295, 18446744073709551615, "x", "", [], {}, [[]], [7],
+            {"host-1": 5}, {"d": [9, 1]}])");
+    const Json flat = value.flatten();
+    auto node = flat.begin();
+    std::advance(node, static_cast<long>(rng() % flat.size()));
+    Json::json_pointer pointer(node.key());
+    for (unsigned ancestors = rng() % 3; ancestors > 0 && !pointer.empty(); --ancestors) {
+        pointer.pop_back();
+    }
+    Json damaged = value;
+    damaged[pointer] = kReplacements[rng() % kReplacements.size()];
+    return damaged;
+}
+
+// Guards against controllers that end by themselves: an exception while a stored value is read
+// would end every controller, again and again, as all of them read the same store.
+TEST(StoreReplica, DamagedValuesCauseNoException) {
+    std::mt19937 rng(42);
+    Names names;
+    JobSpec spec;
+    spec.id = "j-1";
+    spec.team = names.teams.intern("red");
+    spec.tasks = 130;
+    spec.machine_types = {names.machine_types.intern("small")};
+    spec.any_machine_type = false;
+    Json job = encode_job({spec, false}, names);
+    std::vector<TaskRecord> tasks(64);
+    tasks[0].done = tasks[1].done = true;
+    tasks[2] = {3, false, "host-1"};
+    tasks[3] = {1, false, ""};
+    Json placements = encode_placement_record(tasks);
+    RegistryRecord registry;
+    registry.machines = {{"host-000231", 0, names.zones.intern("a"), true, true, true}};
+    registry.scale_out_requests = {{"w1-1", 0, 0, false, 5, true}};
+    Json machines = encode_registry(registry, names);
+    for (int round = 0; round < 20000; ++round) {
+        Json damaged_job = round % 2 == 0 ? with_random_damage(job, rng) : job;
+        Json damaged_placements = with_random_damage(placements, rng);
+        StoreReplica replica(names);
+        replica.apply({keys::job("j-1"), damaged_job, 5});
+        replica.apply({keys::placement_record("j-1", 0), damaged_placements, 6});
+        ASSERT_NO_THROW(replica.counts("j-1")) << damaged_placements;
+        if (const StoredJob* stored = replica.job("j-1")) {
+            ClusterState cluster(names, {});
+            ASSERT_NO_THROW(cluster.load_job(*stored, replica.placement_records("j-1"), 0))
+                << damaged_job << damaged_placements;
+        }
+        Json damaged_machines = with_random_damage(machines, rng);
+        ASSERT_NO_THROW(decode_registry(damaged_machines, names)) << damaged_machines;
+    }
+}
+
 // Guards against a finished job becoming live again permanently. This happened when changes were
 // requested before a snapshot and the response arrived after it: the job had finished and was no
 // longer in the snapshot, and the old change restored it.
