--- a/src/coordination/workers/heartbeat_responder.cpp
+++ b/src/coordination/workers/heartbeat_responder.cpp
@@ -2,13 +2,12 @@
 
 #include <algorithm>
 
+#include "coordination/messages/http_status.hpp"
 #include "coordination/workers/reported_task.hpp"
 
 namespace walkford {
 
 namespace {
-constexpr int kHttpOk = 200;
-constexpr int kHttpServiceUnavailable = 503;
 constexpr Ms kDeferredCheckInterval = 20;
 // A deferred heartbeat occupies a socket until it is answered. Deferred heartbeats may use one
 // socket in this many; the others remain for requests that are answered at once.
@@ -32,14 +31,14 @@
 void HeartbeatResponder::refuse(RequestId request) {
     HeartbeatResponse response;
     response.request = request;
-    response.code = kHttpServiceUnavailable;
+    response.code = http_status::kServiceUnavailable;
     context_.controller.out.emplace_back(std::move(response));
 }
 
 void HeartbeatResponder::renew_lease(Ms now, Machine& machine, RequestId request) {
     HeartbeatResponse response;
     response.request = request;
-    response.code = kHttpOk;
+    response.code = http_status::kOk;
     response.fencing_token = context_.fencing_token;
     machine.worker.lease_renewed_at = now;
     context_.controller.out.emplace_back(std::move(response));
@@ -70,7 +69,7 @@
     }
     HeartbeatResponse response;
     response.request = request;
-    response.code = kHttpOk;
+    response.code = http_status::kOk;
     response.fencing_token = context_.fencing_token;
     response.commands = command_builder_.build(now, machine_id, status);
     Acknowledgement& acknowledgement = machine.acknowledgement;
--- a/src/transport/peer_link.cpp
+++ b/src/transport/peer_link.cpp
@@ -27,7 +27,7 @@
     return socket_address;
 }
 
-// Reads the length prefix without consuming it. The buffer must hold at least kLengthBytes.
+// Reads the length prefix without consuming it. The buffer must hold at least kLengthPrefixBytes.
 std::size_t peek_frame_length(evbuffer* input) {
     std::array<unsigned char, kLengthPrefixBytes> length{};
     evbuffer_copyout(input, length.data(), length.size());
--- a/tests/machine_registry_test.cpp
+++ b/tests/machine_registry_test.cpp
@@ -23,6 +23,12 @@
   protected:
     MachineRegistryTest() {
         spdlog::set_level(std::getenv("LOG_LEVEL") ? spdlog::level::debug : spdlog::level::off);
+        reset_store();
+    }
+
+    // Empties the store but for the leader key.
+    void reset_store() {
+        store = standin::KeyValueStore();
         StoreRequest write_leader;
         write_leader.operation = StoreOperation::transaction;
         write_leader.transaction.writes = {{keys::kLeader, encode_leader({"n0", "n0-1"}), 0}};
@@ -270,11 +276,7 @@
 TEST_F(MachineRegistryTest, NextLeaderCompletesAnInterruptedSplit) {
     for (int executed_transactions = 1; executed_transactions <= 8; ++executed_transactions) {
         SCOPED_TRACE(executed_transactions);
-        store = standin::KeyValueStore();
-        StoreRequest write_leader;
-        write_leader.operation = StoreOperation::transaction;
-        write_leader.transaction.writes = {{keys::kLeader, encode_leader({"n0", "n0-1"}), 0}};
-        store.execute(now, "n0", write_leader);
+        reset_store();
         const StoreLimits lower_limits{1000, 1000, 1, 3};
         set_limits({1000, 1000, 4, 8}, lower_limits);
         take_over(kFeatureNone);
@@ -358,11 +360,7 @@
     for (unsigned seed = 1; seed <= 10; ++seed) {
         SCOPED_TRACE(seed);
         std::mt19937 rng(seed);
-        store = standin::KeyValueStore();
-        StoreRequest write_leader;
-        write_leader.operation = StoreOperation::transaction;
-        write_leader.transaction.writes = {{keys::kLeader, encode_leader({"n0", "n0-1"}), 0}};
-        store.execute(now, "n0", write_leader);
+        reset_store();
         set_limits({1000, 1000, 1, 3}, std::nullopt);
         take_over(kFeatureServices);
         registry->create();
