Tests: the sample messages of the codecs in one place; format

Change: tests/sample_messages.hpp serves both tests, which keep their checks (the mutated heartbeat now has a task that has exited, with its cause, in place of one that runs).

--- a/src/bookkeeping/job_record.cpp
+++ b/src/bookkeeping/job_record.cpp
@@ -95,8 +95,7 @@
 
 // The cluster state allocates memory for all placement records of a job.
 bool counts_are_valid(const JobSpec& spec) {
-    return spec.tasks > 0 && spec.tasks <= kMaxJobTasks &&
-           spec.tasks_per_record <= kMaxJobTasks;
+    return spec.tasks > 0 && spec.tasks <= kMaxJobTasks && spec.tasks_per_record <= kMaxJobTasks;
 }
 
 void decode_amounts(const Json& value, JobSpec& spec) {
--- a/tests/protocol_test.cpp
+++ b/tests/protocol_test.cpp
@@ -13,19 +13,11 @@
 #include "protocol/properties_file.hpp"
 #include "protocol/settings_file.hpp"
 #include "protocol/wire.hpp"
+#include "sample_messages.hpp"
 
 namespace walkford::protocol {
 namespace {
 
-Json valid_job() {
-    return Json{
-        {"uid", "j-000412"}, {"lane", "train"},    {"owner", "vision"}, {"shape", "ensemble"},
-        {"rank", "high"},    {"pieces", 16},       {"vcpus", 8.0},      {"gpus", 1.0},
-        {"ramGb", 64.0},     {"bundle", "img-07"}, {"imageGb", 6.2},    {"builds", {"g8"}},
-        {"yard", nullptr},   {"samePlace", true},  {"spread", false},   {"loaners", true},
-        {"guessS", 240.0},   {"bookmarkS", 30.0},  {"stashS", 4.0},     {"dueS", 900.0}};
-}
-
 int status_code_for(const std::string& body, std::string_view path = "/work",
                     Method method = Method::post) {
     ParsedRequest parsed = parse_request(1, method, path, body);
@@ -34,7 +26,7 @@
 }
 
 TEST(Wire, ReadsAJob) {
-    ParsedRequest parsed = parse_request(7, Method::post, "/work", pack(valid_job()));
+    ParsedRequest parsed = parse_request(7, Method::post, "/work", pack(sample_submission()));
     ASSERT_TRUE(std::holds_alternative<Input>(parsed));
     const auto& submission = std::get<SubmitRequest>(std::get<Input>(parsed));
     EXPECT_EQ(submission.request, 7U);
@@ -50,7 +42,7 @@
 
 // A service has no end to estimate, so the estimate that the user sent is ignored.
 TEST(Wire, ReadsAService) {
-    Json body = valid_job();
+    Json body = sample_submission();
     body["shape"] = "service";
     body["guessS"] = 30.0;
     auto parsed = parse_request(7, Method::post, "/work", pack(body));
@@ -63,17 +55,17 @@
 }
 
 TEST(Wire, RejectsMissingNullAndInvalidFields) {
-    const Json valid = valid_job();
+    const Json valid = sample_submission();
     for (const auto& [field, value] : valid.items()) {
         bool nullable = field == "builds" || field == "yard" || field == "dueS";
-        Json without_field = valid_job();
+        Json without_field = sample_submission();
         without_field.erase(field);
         EXPECT_EQ(status_code_for(pack(without_field)), nullable ? 200 : 400)
             << "without " << field;
-        Json null_field = valid_job();
+        Json null_field = sample_submission();
         null_field[field] = nullptr;
         EXPECT_EQ(status_code_for(pack(null_field)), nullable ? 200 : 400) << "null " << field;
-        Json wrong_type = valid_job();
+        Json wrong_type = sample_submission();
         wrong_type[field] = Json::array({Json::object()});
         EXPECT_EQ(status_code_for(pack(wrong_type)), 400) << "wrong type of " << field;
     }
@@ -90,14 +82,14 @@
              {"uid", "x-1"},
              {"uid", "j-1/2"},
              {"samePlace", 1}}) {
-        Json job = valid_job();
+        Json job = sample_submission();
         job[field] = value;
         EXPECT_EQ(status_code_for(pack(job)), 400) << field;
     }
 }
 
 TEST(Wire, AcceptsWholeFloatsIntegersAndUnknownFields) {
-    Json job = valid_job();
+    Json job = sample_submission();
     job["pieces"] = 16.0;
     job["vcpus"] = 8;
     job["surprise"] = Json{{"deep", 1}};
@@ -108,9 +100,9 @@
 TEST(Wire, RejectsHostileBodies) {
     EXPECT_EQ(status_code_for(""), 400);
     EXPECT_EQ(status_code_for("not msgpack at all"), 400);
-    EXPECT_EQ(status_code_for(pack(valid_job()) + "x"), 400);     // trailing bytes
-    EXPECT_EQ(status_code_for(pack(Json::array({1}))), 400);      // not a map
-    EXPECT_EQ(status_code_for(std::string(10000, '\x91')), 400);  // 10,000 nested lists
+    EXPECT_EQ(status_code_for(pack(sample_submission()) + "x"), 400);  // trailing bytes
+    EXPECT_EQ(status_code_for(pack(Json::array({1}))), 400);           // not a map
+    EXPECT_EQ(status_code_for(std::string(10000, '\x91')), 400);       // 10,000 nested lists
     // Claims 2^32 - 1 items of a list, then of a map.
     EXPECT_EQ(status_code_for(std::string("\xdd\xff\xff\xff\xff", 5)), 400);
     EXPECT_EQ(status_code_for(std::string("\xdf\xff\xff\xff\xff", 5)), 400);
@@ -123,17 +115,7 @@
 
 TEST(Wire, AcceptsOrRejectsRandomlyMutatedBodies) {
     std::mt19937 rng(3);
-    Json heartbeat{{"walker", "host-000231"},
-                   {"endpoint", "10.1.0.232:9000"},
-                   {"build", "g8"},
-                   {"yard", "a"},
-                   {"loaners", true},
-                   {"stint", 1},
-                   {"tick", 88},
-                   {"baton", 41},
-                   {"warningS", nullptr},
-                   {"pieces", {{{"piece", "j-000412/3"}, {"try", 2}, {"status", "running"}}}}};
-    std::string valid_bodies[2] = {pack(valid_job()), pack(heartbeat)};
+    std::string valid_bodies[2] = {pack(sample_submission()), pack(sample_heartbeat())};
     const char* paths[2] = {"/work", "/agent/beat"};
     int accepted = 0;
     for (int i = 0; i < 20000; ++i) {
--- a/tests/store_test.cpp
+++ b/tests/store_test.cpp
@@ -52,7 +52,7 @@
 
 // Returns the value with one random node replaced by a value of another type or size.
 Json with_random_damage(const Json& value, std::mt19937& rng) {
-    static const Json kReplacements = Json::parse(
+    static const Json replacements = Json::parse(
         R"([null, true, -1, 1e300, 2147483647, 4294967295, 18446744073709551615, "x", "", [], {}, [[]], [7],
             {"host-1": 5}, {"d": [9, 1]}])");
     const Json flat = value.flatten();
@@ -63,7 +63,7 @@
         pointer.pop_back();
     }
     Json damaged = value;
-    damaged[pointer] = kReplacements[rng() % kReplacements.size()];
+    damaged[pointer] = replacements[rng() % replacements.size()];
     return damaged;
 }
 
--- a/tests/text_validation_test.cpp
+++ b/tests/text_validation_test.cpp
@@ -12,6 +12,7 @@
 #include "protocol/peer_frame.hpp"
 #include "protocol/utf8.hpp"
 #include "protocol/wire.hpp"
+#include "sample_messages.hpp"
 
 namespace walkford::protocol {
 namespace {
@@ -21,29 +22,6 @@
 // The properties below use the same random numbers in each run, unless RC_PARAMS says otherwise.
 const bool kSeeded = setenv("RC_PARAMS", "seed=42", /*replace=*/0) == 0;
 
-Json valid_submission() {
-    return Json{
-        {"uid", "j-000412"}, {"lane", "train"},    {"owner", "vision"}, {"shape", "ensemble"},
-        {"rank", "high"},    {"pieces", 16},       {"vcpus", 8.0},      {"gpus", 1.0},
-        {"ramGb", 64.0},     {"bundle", "img-07"}, {"imageGb", 6.2},    {"builds", {"g8"}},
-        {"yard", "a"},       {"samePlace", true},  {"spread", false},   {"loaners", true},
-        {"guessS", 240.0},   {"bookmarkS", 30.0},  {"stashS", 4.0},     {"dueS", 900.0}};
-}
-
-Json valid_heartbeat() {
-    return Json{{"walker", "host-000231"},
-                {"endpoint", "10.1.0.232:9000"},
-                {"build", "g8"},
-                {"yard", "a"},
-                {"loaners", true},
-                {"stint", 1},
-                {"tick", 88},
-                {"baton", 41},
-                {"warningS", nullptr},
-                {"pieces",
-                 {{{"piece", "j-000412/3"}, {"try", 2}, {"status", "exited"}, {"cause", "done"}}}}};
-}
-
 // The status code of a request that is rejected by its decoder; 200 for one that is accepted.
 int status_code(const Json& body, std::string_view path) {
     ParsedRequest parsed = parse_request(1, Method::post, path, pack(body));
@@ -95,18 +73,20 @@
 }
 
 TEST(TextValidation, RejectsASubmissionWithInvalidTextInAnyFieldOrKey) {
-    ASSERT_EQ(status_code(valid_submission(), "/work"), 200);
-    for_each_text(valid_submission(), kLatin1, [](const Json& body, const std::string& where) {
+    Json submission = sample_submission();
+    submission["yard"] = "a";
+    ASSERT_EQ(status_code(submission, "/work"), 200);
+    for_each_text(submission, kLatin1, [](const Json& body, const std::string& where) {
         EXPECT_EQ(status_code(body, "/work"), 400) << where;
     });
-    Json unknown_field = valid_submission();
+    Json unknown_field = sample_submission();
     unknown_field["note"] = Json{{"deep", Json::array({kLatin1})}};
     EXPECT_EQ(status_code(unknown_field, "/work"), 400) << "in a field that is ignored";
 }
 
 TEST(TextValidation, RejectsAHeartbeatWithInvalidTextInAnyFieldOrKey) {
-    ASSERT_EQ(status_code(valid_heartbeat(), "/agent/beat"), 200);
-    for_each_text(valid_heartbeat(), kLatin1, [](const Json& body, const std::string& where) {
+    ASSERT_EQ(status_code(sample_heartbeat(), "/agent/beat"), 200);
+    for_each_text(sample_heartbeat(), kLatin1, [](const Json& body, const std::string& where) {
         EXPECT_EQ(status_code(body, "/agent/beat"), 400) << where;
     });
 }
@@ -123,8 +103,8 @@
 }
 
 TEST(TextValidation, DropsAWorkersDirectResponseWithInvalidText) {
-    EXPECT_TRUE(decode_worker_response(1, 200, pack(valid_heartbeat())).worker_status);
-    for_each_text(valid_heartbeat(), kLatin1, [](const Json& body, const std::string& where) {
+    EXPECT_TRUE(decode_worker_response(1, 200, pack(sample_heartbeat())).worker_status);
+    for_each_text(sample_heartbeat(), kLatin1, [](const Json& body, const std::string& where) {
         EXPECT_FALSE(decode_worker_response(1, 200, pack(body)).worker_status) << where;
     });
 }
@@ -207,7 +187,7 @@
 RC_GTEST_PROP(TextValidationProperty, AnAcceptedSubmissionCanBeStored, ()) {
     const std::vector<std::string> fields{"uid",  "lane",   "owner", "shape",
                                           "rank", "bundle", "yard",  "note"};
-    Json body = valid_submission();
+    Json body = sample_submission();
     for (int change = *rc::gen::inRange(1, 4); change > 0; --change) {
         body[*rc::gen::elementOf(fields)] = *rc::gen::arbitrary<std::string>();
     }
@@ -241,7 +221,7 @@
 // out can be stored.
 RC_GTEST_PROP(TextValidationProperty, NoDecoderLetsInvalidTextThrough, ()) {
     spdlog::set_level(spdlog::level::off);
-    std::string body = pack(*rc::gen::arbitrary<bool>() ? valid_submission() : valid_heartbeat());
+    std::string body = pack(*rc::gen::arbitrary<bool>() ? sample_submission() : sample_heartbeat());
     for (int change = *rc::gen::inRange(1, 5); change > 0; --change) {
         body[*rc::gen::inRange<std::size_t>(0, body.size())] = *rc::gen::arbitrary<char>();
     }
