--- a/src/protocol/messagepack_codec.cpp
+++ b/src/protocol/messagepack_codec.cpp
@@ -2,13 +2,27 @@
 
 #include <msgpack.hpp>
 
+#include "protocol/utf8.hpp"
+
 namespace walkford::protocol {
 
 namespace {
 
-// Returns false for types that the protocols do not use: binary data, extensions, and map keys that
-// are not strings.
-bool convert(const msgpack::object& object, Json& out) {
+// Returns nothing if the text is not UTF-8 and is to be rejected.
+std::optional<std::string> convert_text(const msgpack::object& object, InvalidText invalid_text) {
+    std::string text(object.via.str.ptr, object.via.str.size);
+    if (is_valid_utf8(text)) {
+        return text;
+    }
+    if (invalid_text == InvalidText::reject) {
+        return std::nullopt;
+    }
+    return replace_invalid_utf8(text);
+}
+
+// Returns false for text that is to be rejected, and for types that the protocols do not use:
+// binary data, extensions, and map keys that are not strings.
+bool convert(const msgpack::object& object, InvalidText invalid_text, Json& out) {
     switch (object.type) {
         case msgpack::type::NIL:
             out = nullptr;
@@ -26,16 +40,21 @@
         case msgpack::type::FLOAT64:
             out = object.via.f64;
             return true;
-        case msgpack::type::STR:
-            out = std::string(object.via.str.ptr, object.via.str.size);
+        case msgpack::type::STR: {
+            auto text = convert_text(object, invalid_text);
+            if (!text) {
+                return false;
+            }
+            out = std::move(*text);
             return true;
+        }
         case msgpack::type::ARRAY: {
             out = Json::array();
             auto& list = out.get_ref<Json::array_t&>();
             list.reserve(object.via.array.size);
             for (std::uint32_t i = 0; i < object.via.array.size; ++i) {
                 list.emplace_back();
-                if (!convert(object.via.array.ptr[i], list.back())) {
+                if (!convert(object.via.array.ptr[i], invalid_text, list.back())) {
                     return false;
                 }
             }
@@ -48,8 +67,8 @@
                 if (entry.key.type != msgpack::type::STR) {
                     return false;
                 }
-                if (!convert(entry.val,
-                             out[std::string(entry.key.via.str.ptr, entry.key.via.str.size)])) {
+                auto key = convert_text(entry.key, invalid_text);
+                if (!key || !convert(entry.val, invalid_text, out[std::move(*key)])) {
                     return false;
                 }
             }
@@ -115,7 +134,7 @@
             return std::nullopt;
         }
         Json out;
-        if (!convert(handle.get(), out)) {
+        if (!convert(handle.get(), limits.invalid_text, out)) {
             return std::nullopt;
         }
         return out;
--- a/src/protocol/peer_frame.cpp
+++ b/src/protocol/peer_frame.cpp
@@ -4,11 +4,13 @@
 #include <sstream>
 #include <stdexcept>
 
+#include "protocol/utf8.hpp"
+
 namespace walkford {
 
 namespace {
 // A string whose length is checked before memory is allocated, because a malformed frame may claim
-// any length.
+// any length. Its text must be UTF-8.
 struct BoundedString {
     std::string& text;
     static constexpr cereal::size_type kMaxBytes = 512;
@@ -27,6 +29,9 @@
         }
         text.resize(static_cast<std::size_t>(size));
         archive(cereal::binary_data(text.data(), text.size()));
+        if (!protocol::is_valid_utf8(text)) {
+            throw std::invalid_argument("text that is not UTF-8");
+        }
     }
 };
 }  // namespace
--- a/src/protocol/properties_file.cpp
+++ b/src/protocol/properties_file.cpp
@@ -10,6 +10,8 @@
 #include <sstream>
 #include <variant>
 
+#include "protocol/utf8.hpp"
+
 namespace walkford::protocol {
 
 namespace {
@@ -205,11 +207,18 @@
 }
 
 Poco::AutoPtr<PropertyFileConfiguration> open_file(const std::string& path) {
-    if (!std::ifstream(path, std::ios::binary)) {
+    std::ifstream file(path, std::ios::binary);
+    std::ostringstream text;
+    text << file.rdbuf();
+    if (!file || file.bad()) {
         throw SettingsError("properties: cannot read file " + path);
     }
+    if (!is_valid_utf8(text.str())) {
+        throw SettingsError("properties " + path + ": not UTF-8 text");
+    }
     try {
-        return new PropertyFileConfiguration(path);
+        std::istringstream properties(text.str());
+        return new PropertyFileConfiguration(properties);
     } catch (const Poco::Exception& error) {
         throw SettingsError("properties " + path + ": " + error.displayText());
     }
--- a/src/protocol/store_codec.cpp
+++ b/src/protocol/store_codec.cpp
@@ -3,6 +3,7 @@
 
 #include "protocol/field_names.hpp"
 #include "protocol/json_fields.hpp"
+#include "protocol/utf8.hpp"
 #include "protocol/wire.hpp"
 
 namespace walkford::protocol {
@@ -11,8 +12,11 @@
 
 namespace {
 
-// Large enough for a page of a list, which holds up to 400 values.
-constexpr UnpackLimits kStoreLimits{std::size_t{8} * 1024 * 1024, std::size_t{1024} * 1024, 32};
+// Large enough for a page of a list, which holds up to 400 values. Versions that did not check the
+// text of submissions stored it as it was. Their jobs were accepted and must run, so invalid text
+// in a value is replaced.
+constexpr UnpackLimits kStoreLimits{std::size_t{8} * 1024 * 1024, std::size_t{1024} * 1024, 32,
+                                    InvalidText::replace};
 
 Json encode_write(const Write& write) {
     if (!write.value) {
@@ -80,18 +84,27 @@
     }
 }
 
+// A key must be the one in the store, so it must not contain replaced text.
+std::string key_field(const Json& map, const char* field) {
+    std::string key = string_field(map, field);
+    if (key.find(kReplacementCharacter) != std::string::npos) {
+        throw DecodeError::invalid(field);
+    }
+    return key;
+}
+
 StoreEntry decode_row(const Json& row) {
-    return {string_field(row, fields::kKey), required_field(row, fields::kValue),
+    return {key_field(row, fields::kKey), required_field(row, fields::kValue),
             unsigned_field(row, fields::kVersion)};
 }
 
 void decode_event(const Json& event, StoreResponse& response) {
     if (!absent_or_null(event, fields::kWrittenKey)) {
-        response.rows.push_back({string_field(event, fields::kWrittenKey),
+        response.rows.push_back({key_field(event, fields::kWrittenKey),
                                  required_field(event, fields::kValue),
                                  unsigned_field(event, fields::kVersion)});
     } else if (!absent_or_null(event, fields::kDeletedKey)) {
-        response.rows.push_back({string_field(event, fields::kDeletedKey), std::nullopt,
+        response.rows.push_back({key_field(event, fields::kDeletedKey), std::nullopt,
                                  unsigned_field(event, fields::kVersion)});
     } else {
         spdlog::warn("store sent an event that is neither a write nor a deletion; ignoring it");
@@ -197,6 +210,9 @@
     if (!document || !document->is_object()) {
         // The request may have been executed although its response cannot be decoded.
         if (code == 200) {
+            spdlog::warn(
+                "cannot decode a response of the store: not a MessagePack map; treating it as no "
+                "response");
             response.status = StoreStatus::no_response;
         }
         return response;
--- a/src/protocol/wire.cpp
+++ b/src/protocol/wire.cpp
@@ -12,7 +12,9 @@
 
 HttpResponse no_such_path() { return error_response(404, "no such path"); }
 HttpResponse method_not_allowed() { return error_response(405, "method not allowed"); }
-HttpResponse not_messagepack() { return error_response(400, "not a MessagePack value"); }
+HttpResponse not_messagepack() {
+    return error_response(400, "not a MessagePack value of UTF-8 text");
+}
 
 ParsedRequest parse_ready(RequestId request, Method method) {
     if (method != Method::get) {
--- a/src/protocol/worker_codec.cpp
+++ b/src/protocol/worker_codec.cpp
@@ -1,4 +1,6 @@
 // Decodes the status that workers report and encodes the commands to them.
+#include <spdlog/spdlog.h>
+
 #include <charconv>
 #include <optional>
 
@@ -74,10 +76,16 @@
 }
 
 // Returns nothing if the body cannot be decoded.
-std::optional<WorkerStatus> try_decode_worker_status(const Json& body) {
+std::optional<WorkerStatus> try_decode_worker_status(std::string_view body) {
+    auto document = unpack(body);
+    if (!document) {
+        spdlog::warn("dropping the response of a worker: not a MessagePack value of UTF-8 text");
+        return std::nullopt;
+    }
     try {
-        return decode_worker_status(body);
-    } catch (const DecodeError&) {
+        return decode_worker_status(*document);
+    } catch (const DecodeError& error) {
+        spdlog::warn("dropping the response of a worker: {}", error.what());
         return std::nullopt;
     }
 }
@@ -185,9 +193,7 @@
     if (response.status == WorkerCallStatus::unexpected) {
         return response;
     }
-    if (auto document = unpack(body)) {
-        response.worker_status = try_decode_worker_status(*document);
-    }
+    response.worker_status = try_decode_worker_status(body);
     return response;
 }
 
--- a/tests/loopback_test.cpp
+++ b/tests/loopback_test.cpp
@@ -280,6 +280,44 @@
               "done");
 }
 
+// Guards against controllers that end by themselves: one submission whose text was not UTF-8 ended
+// every controller that received it, and the user's retries ended them again.
+TEST_F(Loopback, TextThatIsNotUtf8EndsNoController) {
+    const std::string latin1 = "R\374ckzahlung";
+    for (int i = 0; i < 3; ++i) {
+        EXPECT_EQ(request_until(i, Method::get, "/ready", "", 200, 200).first, 200);
+    }
+    EXPECT_EQ(submit(0, submission("j-000001"), 201, 200), 201);
+    Json document = submission_document({"j-000002", "l", "batch", 2, 2.0, "img", 5.0});
+    for (int i = 0; i < 3; ++i) {
+        for (const char* field : {"lane", "bundle", "owner", "yard", "uid", "note"}) {
+            Json malformed = document;
+            malformed[field] = latin1;
+            EXPECT_EQ(send_request(i, Method::post, "/work", pack(malformed)).first, 400) << field;
+        }
+        Json malformed_key = document;
+        malformed_key[latin1] = 1;
+        EXPECT_EQ(send_request(i, Method::post, "/work", pack(malformed_key)).first, 400);
+        Json heartbeat_of_other_machine{{"walker", latin1},
+                                        {"endpoint", "127.0.0.1:1"},
+                                        {"build", "k"},
+                                        {"yard", "a"},
+                                        {"loaners", false},
+                                        {"stint", 1},
+                                        {"tick", 1},
+                                        {"baton", 0},
+                                        {"pieces", Json::array()}};
+        EXPECT_EQ(
+            send_request(i, Method::post, "/agent/beat", pack(heartbeat_of_other_machine)).first,
+            400);
+        EXPECT_EQ(send_request(i, Method::get, "/work/j-" + latin1).first, 404);
+    }
+    for (int i = 0; i < 3; ++i) {
+        EXPECT_EQ(waitpid(pids[i], nullptr, WNOHANG), 0) << "controller " << i << " has ended";
+        EXPECT_EQ(request_until(i, Method::get, "/work/j-000001", "", 200, 200).first, 200);
+    }
+}
+
 // Runs the production version and the new version side by side, so that each reads records written
 // by the other: jobs accepted by one are polled, run and cancelled by the other, with leaders of
 // both versions. Services are accepted only once all controllers are upgraded.
--- a/tests/protocol_test.cpp
+++ b/tests/protocol_test.cpp
@@ -319,6 +319,13 @@
     EXPECT_NE(notes[1].find("ram_mb"), std::string::npos);
 }
 
+TEST(Settings, RejectsTextThatIsNotUtf8) {
+    std::string text = valid_settings().dump();
+    std::string zone = R"("zones":["a"])";
+    text.replace(text.find(zone), zone.size(), "\"zones\":[\"R\xfc\"]");
+    EXPECT_EQ(settings_error(text), "settings: not valid JSON");
+}
+
 TEST(Settings, ErrorNamesTheInvalidField) {
     EXPECT_NE(settings_error("{"), "");
     EXPECT_NE(settings_error("[]"), "");
@@ -376,6 +383,14 @@
               std::string::npos);
 }
 
+// Names in the settings become part of stored records, which must be UTF-8.
+TEST(Properties, RejectsTextThatIsNotUtf8) {
+    EXPECT_EQ(properties_error("zone_failover.order = R\xc3\xbc\n"), "");
+    EXPECT_NE(properties_error("zone_failover.order = R\xfc\n").find("not UTF-8"),
+              std::string::npos);
+    EXPECT_EQ(properties_error(""), "");
+}
+
 // The error names the file and the property.
 TEST(Properties, ErrorNamesTheInvalidZoneFailoverProperty) {
     EXPECT_EQ(properties_error("zone_failover.order = a, b\n"), "");
