--- a/review/standin-2/site.cpp
+++ b/review/standin-2/site.cpp
@@ -750,7 +750,7 @@
 void Cloud::add_running(const std::string& build, const std::string& yard, double held_s) {
     std::string uid = new_machine(build, yard, false);
     machines_[uid].created = -1000;
-    machines_[uid].up_at = now_s();
+    machines_[uid].up_at = -1000;
     machines_[uid].held_before = held_s;
     step();
 }
@@ -782,13 +782,14 @@
             break;
         }
         double held = machine.held_before > 0 ? machine.held_before + time : time - machine.created;
-        walkers.push_back(Json{{"uid", uid},
-                               {"endpoint", machine.endpoint},
-                               {"build", machine.build},
-                               {"yard", machine.yard},
-                               {"loaners", machine.loaner},
-                               {"status", machine.up_at <= time ? "running" : "booting"},
-                               {"heldS", held}});
+        walkers.push_back(
+            Json{{"uid", uid},
+                 {"endpoint", machine.endpoint.empty() ? Json() : Json(machine.endpoint)},
+                 {"build", machine.build},
+                 {"yard", machine.yard},
+                 {"loaners", machine.loaner},
+                 {"status", machine.up_at <= time ? "running" : "booting"},
+                 {"heldS", held}});
     }
     return Json{{"walkers", walkers}, {"truncated", truncated}};
 }
