--- a/src/bookkeeping/types.hpp
+++ b/src/bookkeeping/types.hpp
@@ -20,8 +20,20 @@
 // No index. Whether this means unknown, absent or any is stated where it is used.
 inline constexpr Id kNone = 0xffffffffU;
 
-// Converts seconds, the unit of settings and requests, to milliseconds.
-inline Ms to_ms(double seconds) { return static_cast<Ms>(seconds * 1000.0); }
+// The longest duration that is kept, about 31,700 years. A time plus several such durations stays
+// in the range of Ms.
+inline constexpr Ms kMaxDuration = 1'000'000'000'000'000;
+
+// Converts seconds, the unit of settings and requests, to milliseconds. A duration longer than
+// kMaxDuration, in either direction, is converted to that one.
+inline Ms to_ms(double seconds) {
+    constexpr auto kMax = static_cast<double>(kMaxDuration);
+    double milliseconds = seconds * 1000.0;
+    if (milliseconds >= kMax) {
+        return kMaxDuration;
+    }
+    return milliseconds > -kMax ? static_cast<Ms>(milliseconds) : -kMaxDuration;
+}
 // Returns a duration that is certain to cover `span` as measured by another machine's clock. Steady
 // clocks of two machines drift apart by up to 0.05%; the result allows for twice that.
 inline Ms with_drift(Ms span) { return span + span / 1000 + 1; }
--- a/src/protocol/json_fields.cpp
+++ b/src/protocol/json_fields.cpp
@@ -1,11 +1,11 @@
 #include "protocol/json_fields.hpp"
 
+#include <algorithm>
 #include <cmath>
 
 namespace walkford::protocol {
 
 namespace {
-constexpr double kMaxNumber = 1e7;
 // Below 2^53, so that a double represents every integer up to this limit exactly.
 constexpr double kMaxUnsignedFloat = 9e15;
 }  // namespace
@@ -47,10 +47,10 @@
         throw DecodeError::invalid(field);
     }
     double number = value.get<double>();
-    if (!std::isfinite(number) || number < 0 || number > kMaxNumber) {
+    if (!std::isfinite(number) || number < 0) {
         throw DecodeError::invalid(field);
     }
-    return number;
+    return std::min(number, kMaxAmount);
 }
 
 std::uint64_t unsigned_field(const Json& map, const char* field) {
@@ -72,6 +72,14 @@
     throw DecodeError::invalid(field);
 }
 
+const Json& list_field(const Json& map, const char* field) {
+    const Json& value = required_field(map, field);
+    if (!value.is_array()) {
+        throw DecodeError::invalid(field);
+    }
+    return value;
+}
+
 bool bool_field(const Json& map, const char* field) {
     const Json& value = required_field(map, field);
     if (!value.is_boolean()) {
--- a/src/protocol/json_fields.hpp
+++ b/src/protocol/json_fields.hpp
@@ -40,6 +40,10 @@
     std::string field_;
 };
 
+// The largest amount that is kept: of seconds (about 31,700 years), cores, GB or money. Sums and
+// products of such amounts are finite.
+inline constexpr double kMaxAmount = 1e12;
+
 // The default limit on the length of a string, in bytes.
 inline constexpr std::size_t kMaxStringBytes = 200;
 
@@ -50,10 +54,13 @@
 // Reads a required string of at most `max_bytes` bytes.
 std::string string_field(const Json& map, const char* field,
                          std::size_t max_bytes = kMaxStringBytes);
-// Reads a required finite number from 0 to 10,000,000, encoded as an integer or as a float.
+// Reads a required finite number of at least 0, encoded as an integer or as a float. A number above
+// kMaxAmount is read as kMaxAmount, since the protocols set no upper limit.
 double number_field(const Json& map, const char* field);
 // Reads a required non-negative integer. Floats without a fractional part are accepted as well.
 std::uint64_t unsigned_field(const Json& map, const char* field);
+// Returns a required array.
+const Json& list_field(const Json& map, const char* field);
 // Reads a required boolean.
 bool bool_field(const Json& map, const char* field);
 // Returns true only if the field is present and true. Never throws.
