Cloud lists: an entry that can't be read costs only itself

Without a machine list nothing is used, without the types every submission is answered 503.

Cause: the decoders of the three lists threw out of the whole list. Text that is not UTF-8 in one entry dropped the body as well.

Now each entry is read by itself. A machine of which only the name is known is neither added nor missing; while a name is unknown, no machine counts as missing from that list, as its tasks would be started a second time. `heldS`, `endpoint` and `status` are read where possible, the machine is used without them. A type that can't be read any more keeps what was read before; if it never was, a job that fits no other type gets 503, not 422, and the types are not stored.

--- a/src/coordination/cloud/machine_list_reconciler.cpp
+++ b/src/coordination/cloud/machine_list_reconciler.cpp
@@ -32,6 +32,8 @@
     reading_ = true;
     read_started_at_ = now;
     listed_machines_.clear();
+    unreadable_names_.clear();
+    all_names_known_ = true;
     request_page("");
 }
 
@@ -51,10 +53,13 @@
     }
     listed_machines_.insert(listed_machines_.end(), response.machines.begin(),
                             response.machines.end());
-    if (response.more && !response.machines.empty()) {
-        request_page(response.machines.back().name);
+    unreadable_names_.insert(response.unreadable_names.begin(), response.unreadable_names.end());
+    all_names_known_ = all_names_known_ && response.all_names_known;
+    if (response.more && !response.last_name.empty()) {
+        request_page(response.last_name);
         return;
     }
+    all_names_known_ = all_names_known_ && !response.more;
     reading_ = false;
     next_read_at_ = now + kReadInterval;
     reconcile(now);
@@ -69,13 +74,16 @@
         adopt_listed_machines(now);
     }
     std::set<std::string> listed_names = apply_listed_machines(now);
+    releaser_.forget_old_releases(now);
+    if (!all_names_known_) {
+        return;  // a machine that seems to be missing may be one whose name can't be read
+    }
     const auto& machines = context_.cluster.machines;
     for (Id machine = 0; machine < machines.size(); ++machine) {
         if (!machines[machine].terminated && !listed_names.contains(machines[machine].name)) {
             handle_missing_machine(now, machine);
         }
     }
-    releaser_.forget_old_releases(now);
 }
 
 // Called for the first list of a cluster without a stored registry. The machines that exist at that
@@ -104,9 +112,9 @@
     registry_.write(now);
 }
 
-// Returns the names of all listed machines.
+// Returns the names of all listed machines, with those of which only the name can be read.
 std::set<std::string> MachineListReconciler::apply_listed_machines(Ms now) {
-    std::set<std::string> names;
+    std::set<std::string> names = unreadable_names_;
     for (const CloudMachine& listed : listed_machines_) {
         names.insert(listed.name);
         apply_listed_machine(now, listed);
--- a/src/coordination/cloud/machine_list_reconciler.hpp
+++ b/src/coordination/cloud/machine_list_reconciler.hpp
@@ -12,7 +12,8 @@
 
 // Reads the cloud's list page by page, adds new machines to the cluster state and removes machines
 // that are no longer listed. If no registry is stored yet, the leader registers all machines of the
-// first list except failed ones. Owned by CloudManager.
+// first list except failed ones. An entry that can't be read costs only itself: its machine is not
+// added, and it does not count as missing. Owned by CloudManager.
 class MachineListReconciler {
   public:
     // All references must outlive it.
@@ -37,7 +38,10 @@
     bool reading_ = false;
     Ms next_read_at_ = 0;
     Ms read_started_at_ = 0;
-    std::vector<CloudMachine> listed_machines_;  // from the pages read so far
+    // From the pages read so far; see CloudResponse.
+    std::vector<CloudMachine> listed_machines_;
+    std::set<std::string> unreadable_names_;
+    bool all_names_known_ = true;
 };
 
 }  // namespace walkford
--- a/src/coordination/cloud/machine_type_reader.cpp
+++ b/src/coordination/cloud/machine_type_reader.cpp
@@ -28,16 +28,33 @@
     }
     next_read_at_ = now + kReadInterval;
     bool first_read = context_.controller.machine_types.empty();
-    context_.controller.machine_types = response.machine_types;
-    context_.cluster.set_machine_types(response.machine_types);
+    adopt(response);
     if (first_read) {
         context_.placement_requested = true;
     }
-    if (!context_.controller.replica.machine_types) {
-        store(response.machine_types);
+    if (!context_.controller.replica.machine_types && context_.controller.machine_types_complete) {
+        store(context_.controller.machine_types);
     }
 }
 
+// A type whose entry can't be read any more keeps the properties that were read before.
+void MachineTypeReader::adopt(const CloudResponse& response) {
+    ControllerContext& controller = context_.controller;
+    std::vector<MachineType> machine_types = response.machine_types;
+    bool complete = response.all_names_known;
+    for (const std::string& name : response.unreadable_names) {
+        Id id = controller.names.machine_types.find(name);
+        const MachineType* known = id == kNone ? nullptr : context_.cluster.machine_type(id);
+        if (known) {
+            machine_types.push_back(*known);
+        }
+        complete = complete && known;
+    }
+    context_.cluster.set_machine_types(machine_types);
+    controller.machine_types = std::move(machine_types);
+    controller.machine_types_complete = complete;
+}
+
 // The types are stored so that a controller that starts during an outage of the cloud can still
 // validate submissions. They are written only once, at list prices, because prices change too often
 // to write each change.
--- a/src/coordination/cloud/machine_type_reader.hpp
+++ b/src/coordination/cloud/machine_type_reader.hpp
@@ -19,6 +19,7 @@
 
   private:
     void on_response(Ms now, const CloudResponse& response);
+    void adopt(const CloudResponse& response);
     void store(const std::vector<MachineType>& machine_types);
 
     LeaderContext& context_;
--- a/src/coordination/context/controller_context.hpp
+++ b/src/coordination/context/controller_context.hpp
@@ -47,6 +47,9 @@
     std::uint32_t cluster_feature_level =
         kFeatureNone;                        // lowest of all controllers; see FeatureLevel
     std::vector<MachineType> machine_types;  // empty until loaded
+    // False while the cloud offers a type that can't be read. A job that fits none of the others
+    // may fit that one.
+    bool machine_types_complete = true;
     std::mt19937_64 rng;
     Outputs out;  // of the current step
 
--- a/src/coordination/controller/submission_validation.cpp
+++ b/src/coordination/controller/submission_validation.cpp
@@ -77,15 +77,22 @@
 }
 }  // namespace
 
-std::optional<std::string> validate_submission(const ControllerContext& context,
-                                               SubmitRequest& submission) {
+std::optional<SubmissionProblem> validate_submission(const ControllerContext& context,
+                                                     SubmitRequest& submission) {
     if (auto reason = resolve_names(context, submission)) {
-        return reason;
+        return SubmissionProblem{*reason};
     }
-    if (auto reason = validate_placement(context, submission.spec)) {
-        return reason;
+    auto unplaceable = validate_placement(context, submission.spec);
+    if (unplaceable && context.machine_types_complete) {
+        return SubmissionProblem{*unplaceable};
     }
-    return validate_quota(context, submission.spec);
+    if (auto reason = validate_quota(context, submission.spec)) {
+        return SubmissionProblem{*reason};
+    }
+    if (unplaceable) {
+        return SubmissionProblem{*unplaceable, false};
+    }
+    return std::nullopt;
 }
 
 }  // namespace walkford
--- a/src/coordination/controller/submission_validation.hpp
+++ b/src/coordination/controller/submission_validation.hpp
@@ -8,11 +8,17 @@
 
 namespace walkford {
 
+// Why a submitted job can't run.
+struct SubmissionProblem {
+    std::string reason;  // as shown to the user
+    // False if the job may fit a machine type that can't be read.
+    bool permanent = true;
+};
+
 // Resolves the names of the team, zone and machine types in the submission to ids in its spec, then
 // checks the spec against the machine types and the team's quota. Returns nullopt if the job can
-// run, otherwise the reason why it never can, as shown to the user. The machine types in the
-// context must have been loaded.
-std::optional<std::string> validate_submission(const ControllerContext& context,
-                                               SubmitRequest& submission);
+// run. The machine types in the context must have been loaded.
+std::optional<SubmissionProblem> validate_submission(const ControllerContext& context,
+                                                     SubmitRequest& submission);
 
 }  // namespace walkford
--- a/src/coordination/controller/user_requests.cpp
+++ b/src/coordination/controller/user_requests.cpp
@@ -188,8 +188,13 @@
     if (!admit(now, job.request, kWriteBudget) || respond_before_validation(now, submission, job)) {
         return;
     }
-    if (auto reason = validate_submission(context_, submission)) {
-        reject_permanently(now, job, *reason);
+    if (auto problem = validate_submission(context_, submission)) {
+        if (problem->permanent) {
+            reject_permanently(now, job, problem->reason);
+        } else {
+            respond_with_failure(job.request, {http_status::kServiceUnavailable,
+                                               "not all machine types can be read"});
+        }
         return;
     }
     Json record = encode_job({build_spec(submission), false}, context_.names);
--- a/src/coordination/messages/inputs.hpp
+++ b/src/coordination/messages/inputs.hpp
@@ -104,6 +104,12 @@
     std::vector<std::string> names;          // scale_out: names of the requested machines
     std::vector<CloudMachine> machines;      // list
     bool more = false;                       // list: further pages follow
+    std::string last_name;  // list: the last machine of the page whose name can be read
+    // list and list_machine_types: the names of entries that can't be read beyond their name.
+    std::vector<std::string> unreadable_names;
+    // False if the name of an entry can't be read either, so that nothing may be concluded from
+    // the absence of a name.
+    bool all_names_known = true;
 };
 
 // The outcome of sending commands directly to a worker.
--- a/src/protocol/cloud_codec.cpp
+++ b/src/protocol/cloud_codec.cpp
@@ -1,8 +1,10 @@
 // Encodes requests to the cloud and decodes its responses.
 #include <spdlog/spdlog.h>
 
+#include "bookkeeping/unreadable_log.hpp"
 #include "protocol/field_names.hpp"
 #include "protocol/json_fields.hpp"
+#include "protocol/utf8.hpp"
 #include "protocol/wire.hpp"
 
 namespace walkford::protocol {
@@ -11,8 +13,14 @@
 
 namespace {
 
-// Large enough for a page of the machine list, which holds up to 500 machines.
-constexpr UnpackLimits kCloudLimits{std::size_t{1024} * 1024, std::size_t{64} * 1024, 16};
+// Large enough for a page of the machine list, which holds up to 500 machines. Text that is not
+// UTF-8 is replaced, so that it costs only the entry that contains it.
+constexpr UnpackLimits kCloudLimits{std::size_t{1024} * 1024, std::size_t{64} * 1024, 16,
+                                    InvalidText::replace};
+
+constexpr const char* kMachineTypeList = "machine type list of the cloud";
+constexpr const char* kMachineList = "machine list of the cloud";
+constexpr const char* kScaleOutResponse = "scale-out response of the cloud";
 
 CloudCallStatus status_of(int code) {
     switch (code) {
@@ -41,9 +49,47 @@
     return error.is_string() && error.get<std::string>() == fields::kErrorNoCapacity;
 }
 
+bool is_readable_name(const Json& value) {
+    return value.is_string() && !value.get_ref<const std::string&>().empty() &&
+           value.get_ref<const std::string&>().find(kReplacementCharacter) == std::string::npos;
+}
+
+// Reads a name that must be the one that the cloud uses, so it must not contain replaced text.
+std::string name_field(const Json& map, const char* field) {
+    if (!is_readable_name(required_field(map, field))) {
+        throw DecodeError::invalid(field);
+    }
+    return string_field(map, field);
+}
+
+// Calls `read` for each entry of a list. An entry that can't be read costs only itself: it is
+// logged, and what is known of it goes into the response.
+template <typename Read>
+void read_entries(const Json& list, const char* source, const char* name_of_entry,
+                  CloudResponse& response, Read read) {
+    for (std::size_t position = 0; position < list.size(); ++position) {
+        const Json& entry = list[position];
+        bool named = entry.is_object() && entry.contains(name_of_entry) &&
+                     is_readable_name(entry[name_of_entry]);
+        std::string name = named ? entry[name_of_entry].get<std::string>() : "";
+        try {
+            read(entry);
+        } catch (const DecodeError& error) {
+            log_unreadable(source, named ? name : "#" + std::to_string(position), error.what());
+            if (named) {
+                response.unreadable_names.push_back(name);
+            }
+            response.all_names_known = response.all_names_known && named;
+        }
+        if (named) {
+            response.last_name = std::move(name);
+        }
+    }
+}
+
 MachineType decode_machine_type(const Json& entry, Names& names) {
     MachineType machine_type;
-    machine_type.id = names.machine_types.intern(string_field(entry, fields::kMachineTypeName));
+    std::string name = name_field(entry, fields::kMachineTypeName);
     machine_type.size = {number_field(entry, fields::kCpus), number_field(entry, fields::kGpus),
                          number_field(entry, fields::kMemoryGb)};
     machine_type.cache_gb = number_field(entry, fields::kImageCacheGb);
@@ -52,9 +98,13 @@
     machine_type.spot_price =
         absent_or_null(entry, fields::kSpotPrice) ? 0 : number_field(entry, fields::kSpotPrice);
     machine_type.boot_s = number_field(entry, fields::kBootS);
-    for (const Json& zone : required_field(entry, fields::kZones)) {
+    for (const Json& zone : list_field(entry, fields::kZones)) {
+        if (!is_readable_name(zone)) {
+            throw DecodeError::invalid(fields::kZones);
+        }
         machine_type.zones.push_back(names.zones.intern(zone.get<std::string>()));
     }
+    machine_type.id = names.machine_types.intern(name);
     return machine_type;
 }
 
@@ -73,37 +123,66 @@
     return CloudMachineState::running;
 }
 
+// Reads a field without which the machine can be used all the same.
+template <typename Value, typename Read>
+Value read_or(const std::string& machine, Value fallback, Read read) {
+    try {
+        return read();
+    } catch (const DecodeError& error) {
+        log_unreadable(kMachineList, machine, error.what());
+        return fallback;
+    }
+}
+
 CloudMachine decode_machine(const Json& entry) {
     CloudMachine machine;
-    machine.name = string_field(entry, fields::kMachineName);
-    machine.address =
-        absent_or_null(entry, fields::kAddress) ? "" : string_field(entry, fields::kAddress);
-    machine.machine_type = string_field(entry, fields::kMachineType);
-    machine.zone = string_field(entry, fields::kZone);
+    machine.name = name_field(entry, fields::kMachineName);
+    machine.machine_type = name_field(entry, fields::kMachineType);
+    machine.zone = name_field(entry, fields::kZone);
     machine.spot = bool_field(entry, fields::kSpot);
-    machine.age_s = absent_or_null(entry, fields::kAgeS) ? 0 : number_field(entry, fields::kAgeS);
-    machine.status = decode_machine_state(string_field(entry, fields::kMachineState));
+    if (!absent_or_null(entry, fields::kAddress)) {
+        machine.address = read_or(machine.name, std::string(),
+                                  [&] { return name_field(entry, fields::kAddress); });
+    }
+    if (!absent_or_null(entry, fields::kAgeS)) {
+        machine.age_s =
+            read_or(machine.name, 0.0, [&] { return number_field(entry, fields::kAgeS); });
+    }
+    machine.status = read_or(machine.name, CloudMachineState::running, [&] {
+        return decode_machine_state(string_field(entry, fields::kMachineState));
+    });
     return machine;
 }
 
+// A machine whose name can't be read is left to the machine list, where it is unknown and released.
+void decode_granted_names(const Json& list, CloudResponse& response) {
+    for (std::size_t position = 0; position < list.size(); ++position) {
+        if (is_readable_name(list[position])) {
+            response.names.push_back(list[position].get<std::string>());
+        } else {
+            log_unreadable(kScaleOutResponse, "#" + std::to_string(position),
+                           DecodeError::invalid(fields::kMachines).what());
+        }
+    }
+}
+
 // Decodes the body of a successful response.
 void decode_body(const Json& body, CloudOperation operation, Names& names,
                  CloudResponse& response) {
     switch (operation) {
         case CloudOperation::list_machine_types:
-            for (const Json& entry : required_field(body, fields::kMachineTypes)) {
-                response.machine_types.push_back(decode_machine_type(entry, names));
-            }
+            read_entries(list_field(body, fields::kMachineTypes), kMachineTypeList,
+                         fields::kMachineTypeName, response, [&](const Json& entry) {
+                             response.machine_types.push_back(decode_machine_type(entry, names));
+                         });
             break;
         case CloudOperation::scale_out:
-            for (const Json& name : required_field(body, fields::kMachines)) {
-                response.names.push_back(name.get<std::string>());
-            }
+            decode_granted_names(list_field(body, fields::kMachines), response);
             break;
         case CloudOperation::list:
-            for (const Json& entry : required_field(body, fields::kMachines)) {
-                response.machines.push_back(decode_machine(entry));
-            }
+            read_entries(
+                list_field(body, fields::kMachines), kMachineList, fields::kMachineName, response,
+                [&](const Json& entry) { response.machines.push_back(decode_machine(entry)); });
             response.more = optional_flag(body, fields::kTruncated);
             break;
         case CloudOperation::scale_in:
@@ -112,7 +191,9 @@
 }
 
 CloudResponse no_response(CallId call) {
-    return {call, CloudCallStatus::no_response, {}, {}, {}, false};
+    CloudResponse response;
+    response.call = call;
+    return response;
 }
 
 }  // namespace
@@ -171,11 +252,6 @@
         spdlog::warn("cannot decode a response of the cloud: {}; treating it as no response",
                      error.what());
         return no_response(request.call);
-    } catch (const Json::exception&) {
-        spdlog::warn(
-            "cannot decode a response of the cloud: a value has an unexpected type; treating it as "
-            "no response");
-        return no_response(request.call);
     }
     return response;
 }
--- a/tests/standin/controllers.cpp
+++ b/tests/standin/controllers.cpp
@@ -307,6 +307,7 @@
             machine.up <= then ? CloudMachineState::running : CloudMachineState::booting;
         listed.age_s = static_cast<double>(then - machine.created_version) / 1000.0;
         reply.machines.push_back(listed);
+        reply.last_name = listed.name;
     }
 }
 
--- /dev/null
+++ b/tests/unreadable_entries_test.cpp
@@ -0,0 +1,239 @@
+// Tests that an entry of a list that can't be read costs only itself, that nothing unsafe is
+// concluded from its absence, and that a log line names the entry and the field.
+#include <gtest/gtest.h>
+#include <spdlog/sinks/ostream_sink.h>
+
+#include <sstream>
+
+#include "bookkeeping/unreadable_log.hpp"
+#include "coordination/controller/submission_validation.hpp"
+#include "leader_harness.hpp"
+#include "sample_cloud_messages.hpp"
+
+namespace walkford {
+namespace {
+
+// Values of a wrong type or outside every range, for any field but a boolean.
+const std::vector<Json> kUnreadableValues{-1, Json::array(), Json::object(), nullptr};
+
+// Collects the log lines that are written while it exists.
+class LogCapture {
+  public:
+    LogCapture() : previous_(spdlog::default_logger()) {
+        reset_unreadable_log();
+        auto sink = std::make_shared<spdlog::sinks::ostream_sink_st>(text_);
+        spdlog::set_default_logger(std::make_shared<spdlog::logger>("capture", sink));
+    }
+    ~LogCapture() { spdlog::set_default_logger(previous_); }
+    LogCapture(const LogCapture&) = delete;
+    LogCapture& operator=(const LogCapture&) = delete;
+    std::string text() const { return text_.str(); }
+
+  private:
+    std::ostringstream text_;
+    std::shared_ptr<spdlog::logger> previous_;
+};
+
+std::size_t count_lines(const std::string& text) {
+    return static_cast<std::size_t>(std::count(text.begin(), text.end(), '\n'));
+}
+
+TEST(UnreadableLog, NamesSourceEntryAndFieldAndIsRateLimited) {
+    LogCapture log;
+    for (int entry = 0; entry < 1000; ++entry) {
+        log_unreadable("list of this test", "host-" + std::to_string(entry), "bad heldS");
+    }
+    EXPECT_EQ(count_lines(log.text()), 1U);
+    for (const char* part : {"list of this test", "host-0", "bad heldS"}) {
+        EXPECT_NE(log.text().find(part), std::string::npos) << log.text();
+    }
+    log_unreadable("list of this test", "host-1", "missing build");
+    EXPECT_EQ(count_lines(log.text()), 2U) << "another problem has a line of its own";
+}
+
+// Guards against a machine list that is lost as a whole because of one entry.
+TEST(UnreadableEntries, AMachineThatCannotBeReadCostsOnlyItself) {
+    for (const char* field : {"build", "yard", "loaners"}) {
+        for (const Json& value : kUnreadableValues) {
+            Json unreadable = sample_machine("host-2");
+            unreadable[field] = value;
+            CloudResponse response = decode_machine_list(
+                {sample_machine("host-1"), unreadable, sample_machine("host-3")});
+            EXPECT_EQ(response.status, CloudCallStatus::ok) << unreadable;
+            ASSERT_EQ(response.machines.size(), 2U) << unreadable;
+            EXPECT_EQ(response.machines[1].name, "host-3");
+            EXPECT_EQ(response.unreadable_names, std::vector<std::string>{"host-2"});
+            EXPECT_TRUE(response.all_names_known);
+        }
+    }
+}
+
+TEST(UnreadableEntries, AMachineIsUsedWithoutItsAgeAddressOrStatus) {
+    for (const char* field : {"heldS", "endpoint", "status"}) {
+        Json incomplete = sample_machine("host-1");
+        incomplete[field] = Json::array();
+        CloudResponse response = decode_machine_list({incomplete});
+        ASSERT_EQ(response.machines.size(), 1U) << field;
+        EXPECT_EQ(response.machines[0].status, CloudMachineState::running);
+    }
+}
+
+TEST(UnreadableEntries, ANameThatCannotBeReadMakesTheListIncomplete) {
+    for (const Json& entry : {Json(7), Json::object(), Json{{"uid", 5}}, Json{{"uid", ""}},
+                              Json{{"uid", "R\374ck"}, {"build", "g8"}}}) {
+        CloudResponse response = decode_machine_list({sample_machine("host-1"), entry});
+        EXPECT_EQ(response.machines.size(), 1U);
+        EXPECT_FALSE(response.all_names_known);
+        EXPECT_EQ(response.last_name, "host-1") << "the next page starts after the last known name";
+    }
+}
+
+TEST(UnreadableEntries, ALogLineNamesTheMachineAndTheField) {
+    LogCapture log;
+    Json unreadable = sample_machine("host-000077");
+    unreadable["yard"] = 12;
+    decode_machine_list({unreadable});
+    EXPECT_NE(log.text().find("host-000077: bad yard"), std::string::npos) << log.text();
+}
+
+TEST(UnreadableEntries, AGrantedNameThatCannotBeReadCostsOnlyItself) {
+    Names names;
+    CloudResponse response = decode_cloud(
+        CloudOperation::scale_out, Json{{"walkers", {"host-1", 5, "R\374ck", "host-2"}}}, names);
+    EXPECT_EQ(response.status, CloudCallStatus::ok);
+    EXPECT_EQ(response.names, (std::vector<std::string>{"host-1", "host-2"}));
+}
+
+TEST(UnreadableEntries, AMachineTypeThatCannotBeReadCostsOnlyItself) {
+    const Json valid = sample_machine_type("g8");
+    for (const auto& [field, value] : valid.items()) {
+        if (field == "name" || field == "lowPrice") {
+            continue;
+        }
+        Json unreadable = valid;
+        unreadable[field] = "many";
+        Names names;
+        CloudResponse response =
+            decode_cloud(CloudOperation::list_machine_types,
+                         Json{{"builds", {unreadable, sample_machine_type("c4")}}}, names);
+        EXPECT_EQ(response.status, CloudCallStatus::ok) << field;
+        ASSERT_EQ(response.machine_types.size(), 1U) << field;
+        EXPECT_EQ(response.unreadable_names, std::vector<std::string>{"g8"});
+    }
+}
+
+// Answers the leader's requests to the cloud: those of one kind with that response, others with
+// none.
+void answer_cloud(LeaderHarness& harness, CloudOperation operation, const CloudResponse& response) {
+    for (const CloudRequest& request : std::exchange(harness.cloud_requests, {})) {
+        CloudResponse answer;
+        if (request.operation == operation) {
+            answer = response;
+            answer.status = CloudCallStatus::ok;
+        }
+        answer.call = request.call;
+        harness.context->cloud.reply(harness.now, answer);
+    }
+    harness.process_outputs();
+}
+
+CloudResponse listed(const std::vector<std::string>& names) {
+    CloudResponse response;
+    for (const std::string& name : names) {
+        CloudMachine machine;
+        machine.name = name;
+        machine.machine_type = "small";
+        machine.zone = "a";
+        machine.status = CloudMachineState::running;
+        response.machines.push_back(machine);
+    }
+    return response;
+}
+
+// Lets the leader read the list for a minute, while the workers report.
+void read_list_for_a_minute(LeaderHarness& harness, const CloudResponse& response) {
+    for (int second = 0; second < 60; ++second) {
+        harness.advance_time(1000);
+        answer_cloud(harness, CloudOperation::list, response);
+        harness.heartbeat("host-1");
+        harness.heartbeat("host-2");
+    }
+}
+
+// Whether the leader once took the machine for gone.
+bool terminated(LeaderHarness& harness, const std::string& name) {
+    const auto& machines = harness.cluster().machines;
+    return std::any_of(machines.begin(), machines.end(), [&](const Machine& machine) {
+        return machine.name == name && machine.terminated;
+    });
+}
+
+// Guards against a second start: the tasks of a machine that counts as gone are run elsewhere,
+// while it still runs them.
+TEST(UnreadableEntries, AMachineOfWhichOnlyTheNameIsKnownIsNotGone) {
+    LeaderHarness harness;
+    harness.elect_with_machines({{"host-1", 0}, {"host-2", 0}});
+    read_list_for_a_minute(harness, listed({"host-1", "host-2"}));
+    CloudResponse response = listed({"host-1"});
+    response.unreadable_names = {"host-2"};
+    read_list_for_a_minute(harness, response);
+    EXPECT_FALSE(terminated(harness, "host-2"));
+    // The same list without that entry shows that the machine is gone.
+    read_list_for_a_minute(harness, listed({"host-1"}));
+    EXPECT_TRUE(terminated(harness, "host-2"));
+}
+
+TEST(UnreadableEntries, NoMachineIsGoneWhileANameInTheListIsUnknown) {
+    LeaderHarness harness;
+    harness.elect_with_machines({{"host-1", 0}, {"host-2", 0}});
+    read_list_for_a_minute(harness, listed({"host-1", "host-2"}));
+    CloudResponse response = listed({"host-1"});
+    response.all_names_known = false;
+    read_list_for_a_minute(harness, response);
+    EXPECT_FALSE(terminated(harness, "host-2"));
+}
+
+SubmitRequest submission_for(double cpus) {
+    SubmitRequest submission;
+    submission.team_name = "red";
+    submission.spec.task_resources = {cpus, 0, 1};
+    return submission;
+}
+
+// Guards against 422 for a job that fits only the machine type that can't be read.
+TEST(UnreadableEntries, AJobIsNotRefusedForGoodWhileAMachineTypeIsUnknown) {
+    LeaderHarness harness;
+    harness.elect_with_machines({{"host-1", 0}});
+    std::vector<MachineType> known = harness.context->machine_types;
+    auto problem_of = [&](double cpus) {
+        SubmitRequest submission = submission_for(cpus);
+        return validate_submission(*harness.context, submission);
+    };
+    ASSERT_TRUE(problem_of(64));
+    EXPECT_TRUE(problem_of(64)->permanent);
+    CloudResponse response;
+    response.machine_types = {known[0]};
+    response.unreadable_names = {"large"};
+    harness.advance_time(1000);
+    answer_cloud(harness, CloudOperation::list_machine_types, response);
+    ASSERT_TRUE(problem_of(64));
+    EXPECT_FALSE(problem_of(64)->permanent);
+    ASSERT_TRUE(problem_of(1000)) << "more than the team's quota, whatever machines there are";
+    EXPECT_TRUE(problem_of(1000)->permanent);
+    EXPECT_FALSE(problem_of(4));
+}
+
+TEST(UnreadableEntries, AKnownMachineTypeKeepsItsPropertiesWhenItsEntryCannotBeRead) {
+    LeaderHarness harness;
+    harness.elect_with_machines({{"host-1", 0}});
+    CloudResponse response;
+    response.machine_types = {harness.context->machine_types[0]};
+    response.unreadable_names = {"gpu"};
+    harness.advance_time(1000);
+    answer_cloud(harness, CloudOperation::list_machine_types, response);
+    EXPECT_EQ(harness.context->machine_types.size(), 2U);
+    EXPECT_TRUE(harness.context->machine_types_complete);
+}
+
+}  // namespace
+}  // namespace walkford
