Workers' reports: a task that can't be read costs only itself

Callers saw a machine lose all its tasks: one task in a report with a name, attempt, state or cause that can't be read was answered 400, the worker went round the controllers until its lease was over, and killed the tasks. An attempt of 2^32 or more was cut to 32 bits, and could be taken for another.

Now such a task is logged (machine, position or task, field) and left out. Which task it is remains unknown, so no task counts as lost by that report: it would be started elsewhere while it runs. A task whose name and attempt can be read is present whatever else can't be.

The decision digest hashes the bytes of the attempt, which has twice as many now: its hashes change.

--- a/src/bookkeeping/task.hpp
+++ b/src/bookkeeping/task.hpp
@@ -74,7 +74,7 @@
 struct ReportedTask {
     std::string job;  // its id
     std::uint32_t task = 0;
-    std::uint32_t attempt = 0;
+    std::uint64_t attempt = 0;
     TaskState state = TaskState::unknown;
     std::string cause;            // why it exited, if it has
     bool progress_saved = false;  // whether it wrote a checkpoint before it exited
--- a/src/coordination/messages/outputs.hpp
+++ b/src/coordination/messages/outputs.hpp
@@ -38,7 +38,7 @@
     WorkerCommandType type = WorkerCommandType::run;
     std::string job;
     std::uint32_t task = 0;
-    std::uint32_t attempt = 0;
+    std::uint64_t attempt = 0;
     double grace_s = 0;  // stop: how long the task may take to exit by itself
 };
 // The response to a worker's heartbeat.
--- a/src/coordination/messages/shared_messages.hpp
+++ b/src/coordination/messages/shared_messages.hpp
@@ -27,6 +27,9 @@
     std::uint64_t fencing_token = 0;  // the highest that the worker has seen
     std::optional<double> notice_s;   // seconds until the cloud reclaims the machine
     std::vector<ReportedTask> tasks;
+    // False if the report contains a task that can't be read. A task that seems to be missing may
+    // then be that one.
+    bool all_tasks_known = true;
 };
 
 // The message that controllers send to each other periodically. Durations are in milliseconds,
--- a/src/coordination/workers/heartbeat_responder.cpp
+++ b/src/coordination/workers/heartbeat_responder.cpp
@@ -101,7 +101,7 @@
     }
     // Only a worker without tasks may wait for work: one with tasks could not report on them while
     // its heartbeat is open.
-    if (status.tasks.empty() && machine.tasks.empty()) {
+    if (status.tasks.empty() && status.all_tasks_known && machine.tasks.empty()) {
         return DeferReason::idle;
     }
     bool placement_expected =
--- a/src/coordination/workers/worker_status_handler.cpp
+++ b/src/coordination/workers/worker_status_handler.cpp
@@ -35,8 +35,8 @@
     update_reclaim_notice(update, machine);
     std::set<TaskRef> reported = apply_reported_tasks(update);
     // While the worker may still accept commands of an older leader, a task that it does not report
-    // is not proven gone.
-    if (update.under_our_token) {
+    // is not proven gone. Nor is it if one of the reported tasks can't be read.
+    if (update.under_our_token && status.all_tasks_known) {
         reconcile_unreported_tasks(update, reported);
     }
     return StatusResult::applied;
--- a/src/protocol/worker_codec.cpp
+++ b/src/protocol/worker_codec.cpp
@@ -4,6 +4,7 @@
 #include <charconv>
 #include <optional>
 
+#include "bookkeeping/unreadable_log.hpp"
 #include "protocol/field_names.hpp"
 #include "protocol/json_fields.hpp"
 #include "protocol/wire_requests.hpp"
@@ -55,26 +56,54 @@
     return TaskState::unknown;
 }
 
-ReportedTask decode_reported_task(const Json& entry) {
+constexpr const char* kTaskList = "task list of a worker";
+
+// Reads a field without which the task is known all the same.
+std::string text_or_empty(const Json& entry, const char* field, const std::string& described) {
+    try {
+        return string_field(entry, field);
+    } catch (const DecodeError& error) {
+        log_unreadable(kTaskList, described, error.what());
+        return "";
+    }
+}
+
+ReportedTask decode_reported_task(const Json& entry, const std::string& machine) {
     if (!entry.is_object()) {
         throw DecodeError::invalid(fields::kTasks);
     }
-    auto name = parse_task_name(string_field(entry, fields::kTask));
+    std::string text = string_field(entry, fields::kTask);
+    auto name = parse_task_name(text);
     if (!name) {
         throw DecodeError::invalid(fields::kTask);
     }
+    std::string described = machine + " " + text;
     ReportedTask task;
     task.job = std::move(name->job_id);
     task.task = name->task;
-    task.attempt = static_cast<std::uint32_t>(unsigned_field(entry, fields::kAttempt));
-    task.state = decode_task_state(string_field(entry, fields::kTaskState));
+    task.attempt = unsigned_field(entry, fields::kAttempt);
+    task.state = decode_task_state(text_or_empty(entry, fields::kTaskState, described));
     if (!absent_or_null(entry, fields::kExitCause)) {
-        task.cause = string_field(entry, fields::kExitCause);
+        task.cause = text_or_empty(entry, fields::kExitCause, described);
     }
     task.progress_saved = optional_flag(entry, fields::kProgressSaved);
     return task;
 }
 
+// A task that can't be read costs only itself. Which task it is remains unknown, so nothing may be
+// concluded from the absence of a task.
+void decode_tasks(const Json& tasks, WorkerStatus& status) {
+    for (std::size_t position = 0; position < tasks.size(); ++position) {
+        try {
+            status.tasks.push_back(decode_reported_task(tasks[position], status.machine));
+        } catch (const DecodeError& error) {
+            log_unreadable(kTaskList, status.machine + " #" + std::to_string(position),
+                           error.what());
+            status.all_tasks_known = false;
+        }
+    }
+}
+
 // Returns nothing if the body cannot be decoded.
 std::optional<WorkerStatus> try_decode_worker_status(std::string_view body) {
     auto document = unpack(body);
@@ -149,13 +178,7 @@
     if (!absent_or_null(body, fields::kReclaimNoticeS)) {
         status.notice_s = number_field(body, fields::kReclaimNoticeS);
     }
-    const Json& tasks = required_field(body, fields::kTasks);
-    if (!tasks.is_array()) {
-        throw DecodeError::invalid(fields::kTasks);
-    }
-    for (const Json& entry : tasks) {
-        status.tasks.push_back(decode_reported_task(entry));
-    }
+    decode_tasks(list_field(body, fields::kTasks), status);
     return status;
 }
 
--- a/tests/unreadable_entries_test.cpp
+++ b/tests/unreadable_entries_test.cpp
@@ -9,6 +9,7 @@
 #include "coordination/controller/submission_validation.hpp"
 #include "leader_harness.hpp"
 #include "sample_cloud_messages.hpp"
+#include "sample_messages.hpp"
 
 namespace walkford {
 namespace {
@@ -122,6 +123,84 @@
     }
 }
 
+WorkerStatus decode_heartbeat(const Json& body) {
+    auto parsed =
+        protocol::parse_request(1, protocol::Method::post, "/agent/beat", protocol::pack(body));
+    auto* input = std::get_if<Input>(&parsed);
+    return input ? std::get<HeartbeatRequest>(*input).worker_status : WorkerStatus{};
+}
+
+// A heartbeat with three running tasks of one job.
+Json heartbeat_with_three_tasks() {
+    Json heartbeat = sample_heartbeat();
+    heartbeat["pieces"] = Json::array();
+    for (const char* name : {"j-1/0", "j-1/1", "j-1/2"}) {
+        heartbeat["pieces"].push_back(Json{{"piece", name}, {"try", 1}, {"status", "running"}});
+    }
+    return heartbeat;
+}
+
+// Guards against heartbeats that are answered with 400 because of one task, until the worker's
+// lease expires and it loses all of them.
+TEST(UnreadableEntries, ATaskThatCannotBeReadCostsOnlyItself) {
+    const std::vector<Json> unreadable_tasks{
+        Json(7), Json{{"piece", "j-1"}, {"try", 1}, {"status", "running"}},
+        Json{{"piece", "j-1/99999999999"}, {"try", 1}, {"status", "running"}},
+        Json{{"piece", "j-1/1"}, {"status", "running"}},
+        Json{{"piece", "j-1/1"}, {"try", -1}, {"status", "running"}}};
+    EXPECT_TRUE(decode_heartbeat(heartbeat_with_three_tasks()).all_tasks_known);
+    for (const Json& task : unreadable_tasks) {
+        Json heartbeat = heartbeat_with_three_tasks();
+        heartbeat["pieces"][1] = task;
+        WorkerStatus status = decode_heartbeat(heartbeat);
+        EXPECT_EQ(status.machine, "host-000231") << task;
+        EXPECT_EQ(status.tasks.size(), 2U) << task;
+        EXPECT_FALSE(status.all_tasks_known) << task;
+    }
+}
+
+TEST(UnreadableEntries, ATaskIsPresentWithoutItsStateOrCause) {
+    LogCapture log;
+    for (const char* field : {"status", "cause"}) {
+        Json heartbeat = heartbeat_with_three_tasks();
+        heartbeat["pieces"][1][field] = Json::array();
+        WorkerStatus status = decode_heartbeat(heartbeat);
+        EXPECT_EQ(status.tasks.size(), 3U) << field;
+        EXPECT_TRUE(status.all_tasks_known);
+    }
+    EXPECT_NE(log.text().find("host-000231 j-1/1: bad status"), std::string::npos) << log.text();
+}
+
+// Guards against an attempt that is taken for another one: attempts are integers below 2^64.
+TEST(UnreadableEntries, AttemptsAreNotTruncated) {
+    Json heartbeat = heartbeat_with_three_tasks();
+    std::uint64_t attempt = (std::uint64_t{1} << 32) + 1;
+    heartbeat["pieces"][0]["try"] = attempt;
+    ASSERT_EQ(decode_heartbeat(heartbeat).tasks.size(), 3U);
+    EXPECT_EQ(decode_heartbeat(heartbeat).tasks[0].attempt, attempt);
+}
+
+// Guards against a second start: a task that counts as lost is run elsewhere, while it is the one
+// that the report names and the leader can't read.
+TEST(UnreadableEntries, NoTaskIsLostWhileATaskInTheReportIsUnknown) {
+    LeaderHarness harness;
+    harness.elect_with_machines({{"host-1", 0}});
+    harness.submit_job(harness.make_job_spec("j-1", 4));
+    harness.advance_time(600);
+    ASSERT_EQ(harness.heartbeat("host-1").size(), 1U);
+    harness.heartbeat("host-1", {{"j-1", 0, 1, TaskState::running, "", false}});
+    HeartbeatRequest request;
+    request.worker_status.machine = "host-1";
+    request.worker_status.incarnation = 1;
+    request.worker_status.sequence = ++harness.sequence;
+    request.worker_status.fencing_token = 50;
+    request.worker_status.all_tasks_known = false;
+    harness.leader->heartbeat(harness.now, request);
+    EXPECT_EQ(harness.machine_of("j-1"), "host-1");
+    harness.heartbeat("host-1");
+    EXPECT_EQ(harness.machine_of("j-1"), "") << "a report that can be read shows that it is gone";
+}
+
 // Answers the leader's requests to the cloud: those of one kind with that response, others with
 // none.
 void answer_cloud(LeaderHarness& harness, CloudOperation operation, const CloudResponse& response) {
