Settings: no upper limits that no page sets

Cause: the reader of the settings had an upper limit for every number. The lower limits stay: a rate or a period of 0 can't be worked with. The operators' properties keep their ranges.

Seen to fail before: Settings.AcceptsLargeNumbersWhereThePagesSetNoLimit, "params.teams[0].cpus: must be from 0 to 1e+09". Now it passes.

--- a/src/protocol/settings_file.cpp
+++ b/src/protocol/settings_file.cpp
@@ -4,18 +4,22 @@
 #include <array>
 #include <cmath>
 #include <fstream>
+#include <limits>
 #include <sstream>
 #include <string_view>
 
 #include "bookkeeping/records.hpp"
+#include "protocol/json_fields.hpp"
 
 namespace walkford::protocol {
 
 namespace {
 
-constexpr double kMaxTeamResources = 1e9;  // cores or GPUs of a team
-constexpr double kMaxRate = 1e9;           // requests per second
-constexpr double kMaxPeriodS = 86400;
+// Converts a setting to a count; a larger one is converted to the largest count.
+std::uint32_t to_count(double number) {
+    constexpr std::uint32_t kMax = std::numeric_limits<std::uint32_t>::max();
+    return number < kMax ? static_cast<std::uint32_t>(number) : kMax;
+}
 
 // Reads the fields of one object of the settings, and knows its path for error messages. Every
 // getter throws a SettingsError that names the field if the field is missing or its value is not
@@ -54,22 +58,24 @@
         return address;
     }
 
-    double number(const char* name, double min, double max) const {
+    // Reads a finite number. The platform sets no upper limits; a number above kMaxAmount is read
+    // as kMaxAmount.
+    double number(const char* name, double min) const {
         const Json& value = at(name);
         if (!value.is_number()) {
             throw SettingsError(field_path(name) + ": must be a number");
         }
         double number = value.get<double>();
-        if (!std::isfinite(number) || number < min || number > max) {
+        if (!std::isfinite(number) || number < min) {
             std::ostringstream message;
-            message << field_path(name) << ": must be from " << min << " to " << max;
+            message << field_path(name) << ": must be at least " << min;
             throw SettingsError(message.str());
         }
-        return number;
+        return std::min(number, kMaxAmount);
     }
 
-    double number_or(const char* name, double fallback, double min, double max) const {
-        return has(name) ? number(name, min, max) : fallback;
+    double number_or(const char* name, double fallback, double min) const {
+        return has(name) ? number(name, min) : fallback;
     }
 
     const Json& list(const char* name) const {
@@ -114,20 +120,18 @@
 
 // Takes absent fields from `fallback`. If `fallback` is null, every field is required.
 StoreLimits read_store_limits(const SettingsReader& state, const StoreLimits* fallback) {
-    auto limit = [&](const char* name, double StoreLimits::*field, double min, double max) {
-        return fallback ? state.number_or(name, fallback->*field, min, max)
-                        : state.number(name, min, max);
+    auto limit = [&](const char* name, double StoreLimits::*field, double min) {
+        return fallback ? state.number_or(name, fallback->*field, min) : state.number(name, min);
     };
     StoreLimits limits;
-    limits.requests_per_s = limit("rps", &StoreLimits::requests_per_s, 1, kMaxRate);
-    limits.writes_per_s = limit("write_rps", &StoreLimits::writes_per_s, 0.5, kMaxRate);
-    limits.value_kb = limit("value_kb", &StoreLimits::value_kb, 0.5, 1e6);
+    limits.requests_per_s = limit("rps", &StoreLimits::requests_per_s, 1);
+    limits.writes_per_s = limit("write_rps", &StoreLimits::writes_per_s, 0.5);
+    limits.value_kb = limit("value_kb", &StoreLimits::value_kb, 0.5);
     constexpr double kMinOperations = 3;  // size of the largest transaction that cannot be split
-    constexpr double kMaxOperations = 1e6;
-    double operations = fallback ? state.number_or("txn_ops", fallback->transaction_operations,
-                                                   kMinOperations, kMaxOperations)
-                                 : state.number("txn_ops", kMinOperations, kMaxOperations);
-    limits.transaction_operations = static_cast<std::uint32_t>(operations);
+    double operations =
+        fallback ? state.number_or("txn_ops", fallback->transaction_operations, kMinOperations)
+                 : state.number("txn_ops", kMinOperations);
+    limits.transaction_operations = to_count(operations);
     return limits;
 }
 
@@ -161,10 +165,8 @@
 Team read_team(const SettingsReader& reader) {
     Team team;
     team.name = reader.text("name");
-    team.guaranteed_share = {reader.number_or("cpus", 0, 0, kMaxTeamResources),
-                             reader.number_or("gpus", 0, 0, kMaxTeamResources), 0};
-    team.quota = {reader.number_or("cpus_max", 0, 0, kMaxTeamResources),
-                  reader.number_or("gpus_max", 0, 0, kMaxTeamResources), 0};
+    team.guaranteed_share = {reader.number_or("cpus", 0, 0), reader.number_or("gpus", 0, 0), 0};
+    team.quota = {reader.number_or("cpus_max", 0, 0), reader.number_or("gpus_max", 0, 0), 0};
     return team;
 }
 
@@ -184,14 +186,13 @@
                     std::vector<std::string>& notes) {
     constexpr const char* kStartLatency = "wait";
     constexpr std::array<std::string_view, 3> kOtherMeasures{"finished", "deadline", "guarantee"};
-    constexpr double kMaxLatencyS = 1e9;
     std::string measure = objective.text("kind");
     if (objective.has("class")) {
         settings.objective_classes.push_back(objective.text("class"));
     }
     if (measure == kStartLatency) {
         settings.start_latency_objectives.push_back(
-            {objective.text("class"), objective.number("within_s", 0, kMaxLatencyS)});
+            {objective.text("class"), objective.number("within_s", 0)});
     } else if (std::find(kOtherMeasures.begin(), kOtherMeasures.end(), measure) ==
                kOtherMeasures.end()) {
         notes.push_back(objective.field_path("kind") + ": unknown kind '" + measure +
@@ -210,11 +211,11 @@
 }
 
 void read_worker_periods(const SettingsReader& workers, PlatformSettings& settings) {
-    settings.report_s = workers.number("report_s", 0.05, 3600);
-    settings.lease_s = workers.number("lease_s", 0.1, kMaxPeriodS);
-    settings.gang_wait_s = workers.number("gang_wait_s", 0, kMaxPeriodS);
-    settings.gang_peer_s = workers.number("gang_peer_s", 0, kMaxPeriodS);
-    settings.cancel_s = workers.number("cancel_s", 0.1, kMaxPeriodS);
+    settings.report_s = workers.number("report_s", 0.05);
+    settings.lease_s = workers.number("lease_s", 0.1);
+    settings.gang_wait_s = workers.number("gang_wait_s", 0);
+    settings.gang_peer_s = workers.number("gang_peer_s", 0);
+    settings.cancel_s = workers.number("cancel_s", 0.1);
     if (settings.lease_s <= settings.report_s) {
         throw SettingsError(workers.field_path("lease_s") + ": must be longer than report_s");
     }
@@ -228,8 +229,8 @@
 }
 
 void read_cloud(const SettingsReader& cloud, PlatformSettings& settings) {
-    settings.cloud_requests_per_s = cloud.number("rps", 0.1, kMaxRate);
-    settings.list_lag_s = cloud.number("list_lag_s", 0, kMaxPeriodS);
+    settings.cloud_requests_per_s = cloud.number("rps", 0.1);
+    settings.list_lag_s = cloud.number("list_lag_s", 0);
 }
 
 // Reads the limits of the machine that this controller runs on. The controller also runs on a
@@ -241,7 +242,7 @@
     constexpr double kMinRamMb = 16;
     constexpr double kMinFds = 160;
     constexpr double kMinFdsPerPeer = 8;
-    settings.fd_limit = static_cast<std::uint32_t>(limits.number_or("fd_limit", 512, 32, 1e7));
+    settings.fd_limit = to_count(limits.number_or("fd_limit", 512, 32));
     auto note_if_below = [&](const char* name, double value, double recommended) {
         if (value >= recommended) {
             return;
@@ -253,7 +254,7 @@
     };
     note_if_below("fd_limit", settings.fd_limit,
                   kMinFds + kMinFdsPerPeer * static_cast<double>(settings.peers.size()));
-    note_if_below("ram_mb", limits.number_or("ram_mb", kUnlimitedRamMb, 0, 1e9), kMinRamMb);
+    note_if_below("ram_mb", limits.number_or("ram_mb", kUnlimitedRamMb, 0), kMinRamMb);
 }
 
 }  // namespace
--- a/tests/protocol_test.cpp
+++ b/tests/protocol_test.cpp
@@ -335,6 +335,35 @@
     }
 }
 
+// Guards against a controller that doesn't start because a setting is large, although the
+// platform's pages set no limit.
+TEST(Settings, AcceptsLargeNumbersWhereThePagesSetNoLimit) {
+    for (const char* pointer :
+         {"/params/teams/0/cpus", "/params/teams/0/cpus_max", "/params/teams/0/gpus",
+          "/params/teams/0/gpus_max", "/params/objectives/0/within_s", "/params/workers/lease_s",
+          "/params/workers/gang_wait_s", "/params/workers/gang_peer_s", "/params/workers/cancel_s",
+          "/params/state/rps", "/params/state/write_rps", "/params/state/value_kb",
+          "/params/state/txn_ops", "/params/cloud/rps", "/params/cloud/list_lag_s",
+          "/params/machine_limits/ram_mb", "/params/machine_limits/fd_limit"}) {
+        for (double number : {86401.0, 1e10, 1e300}) {
+            Json settings = valid_settings();
+            settings[Json::json_pointer(pointer)] = number;
+            EXPECT_EQ(settings_error(settings.dump()), "") << pointer << " " << number;
+        }
+    }
+    Json settings = valid_settings();
+    settings["params"]["workers"]["report_s"] = 7200;
+    settings["params"]["workers"]["lease_s"] = 30000;
+    EXPECT_EQ(settings_error(settings.dump()), "");
+    settings["params"]["state"]["txn_ops"] = 1e300;
+    settings["params"]["machine_limits"]["fd_limit"] = 1e300;
+    std::vector<std::string> notes;
+    PlatformSettings read = read_platform_settings(settings.dump(), notes);
+    constexpr std::uint32_t kLargestCount = std::numeric_limits<std::uint32_t>::max();
+    EXPECT_EQ(read.store_limits.transaction_operations, kLargestCount);
+    EXPECT_EQ(read.fd_limit, kLargestCount);
+}
+
 std::string properties_error(const std::string& text) {
     std::string path =
         testing::TempDir() + "walkford-test-" + std::to_string(::getpid()) + ".properties";
