Names: no longer limited to 200 bytes; older versions are waited for

Callers saw 400 for a job whose class, team, image or zone has a name of more than 200 bytes, and a machine with such a name or address was lost from reports and lists; a controller with a name of more than 512 bytes was not heard by its peers. The size of a body, of a frame and of a stored value still bounds them (400, 422).

Names are interned for good: those of a job that can't be stored no longer are.

--- a/src/bookkeeping/types.hpp
+++ b/src/bookkeeping/types.hpp
@@ -36,7 +36,7 @@
 }
 // Returns a duration that is certain to cover `span` as measured by another machine's clock. Steady
 // clocks of two machines drift apart by up to 0.05%; the result allows for twice that.
-inline Ms with_drift(Ms span) { return span + span / 1000 + 1; }
+inline constexpr Ms with_drift(Ms span) { return span + span / 1000 + 1; }
 
 // A kind of resource that machines provide and tasks use.
 enum class Resource : std::uint8_t { cpu, memory, gpu };
@@ -220,7 +220,13 @@
 inline constexpr std::uint32_t kFeatureNone = 0;          // version 0.3.0 and before
 inline constexpr std::uint32_t kFeatureServices = 1;      // services; a registry in several parts
 inline constexpr std::uint32_t kFeatureZoneFailover = 2;  // records of failing zones
-inline constexpr std::uint32_t kFeatureNewest = kFeatureZoneFailover;
+inline constexpr std::uint32_t kFeatureAnyAmounts = 3;    // submissions above kFormerMaxAmount
+inline constexpr std::uint32_t kFeatureNewest = kFeatureAnyAmounts;
+
+// The largest amount and the longest name, in bytes, that versions below kFeatureAnyAmounts accept
+// in a submission.
+inline constexpr double kFormerMaxAmount = 1e7;
+inline constexpr std::size_t kFormerMaxNameBytes = 200;
 
 // The status of a job as users see it.
 enum class JobStatus : std::uint8_t { pending, running, done, cancelled };
--- a/src/coordination/controller/submission_validation.cpp
+++ b/src/coordination/controller/submission_validation.cpp
@@ -1,5 +1,7 @@
 #include "coordination/controller/submission_validation.hpp"
 
+#include <algorithm>
+#include <array>
 #include <set>
 
 namespace walkford {
@@ -77,6 +79,24 @@
 }
 }  // namespace
 
+bool refused_by_former_versions(const SubmitRequest& submission) {
+    const JobSpec& spec = submission.spec;
+    const std::array amounts{spec.task_resources.cpus,
+                             spec.task_resources.gpus,
+                             spec.task_resources.ram,
+                             spec.image_gb,
+                             spec.estimate_s,
+                             spec.checkpoint_interval_s,
+                             spec.checkpoint_duration_s,
+                             spec.deadline_s};
+    const std::array names{&submission.team_name, &submission.job_class_name,
+                           &submission.image_name, &submission.zone_name};
+    return std::any_of(amounts.begin(), amounts.end(),
+                       [](double amount) { return amount > kFormerMaxAmount; }) ||
+           std::any_of(names.begin(), names.end(),
+                       [](const std::string* name) { return name->size() > kFormerMaxNameBytes; });
+}
+
 std::optional<SubmissionProblem> validate_submission(const ControllerContext& context,
                                                      SubmitRequest& submission) {
     if (auto reason = resolve_names(context, submission)) {
--- a/src/coordination/controller/submission_validation.hpp
+++ b/src/coordination/controller/submission_validation.hpp
@@ -8,6 +8,10 @@
 
 namespace walkford {
 
+// Whether versions below kFeatureAnyAmounts refuse the submission because of a large amount or a
+// long name.
+bool refused_by_former_versions(const SubmitRequest& submission);
+
 // Why a submitted job can't run.
 struct SubmissionProblem {
     std::string reason;  // as shown to the user
--- a/src/coordination/controller/user_requests.cpp
+++ b/src/coordination/controller/user_requests.cpp
@@ -197,8 +197,11 @@
         }
         return;
     }
-    Json record = encode_job({build_spec(submission), false}, context_.names);
-    if (record.dump().size() > context_.store.limits().max_value_bytes()) {
+    // Names are interned for good, so those of a job that can't be stored must not be.
+    std::size_t max_bytes = context_.store.limits().max_value_bytes();
+    bool names_fit = submission.image_name.size() + submission.job_class_name.size() <= max_bytes;
+    Json record = names_fit ? encode_job({build_spec(submission), false}, context_.names) : Json();
+    if (!names_fit || record.dump().size() > max_bytes) {
         reject_permanently(now, job, "its description is too large to be stored");
         return;
     }
@@ -233,6 +236,14 @@
                               kRetryAfterUpgradeS});
         return true;
     }
+    // A controller of an older version would answer 400 when the submission is repeated.
+    if (refused_by_former_versions(submission) && !context_.may_write(kFeatureAnyAmounts)) {
+        respond_with_failure(job.request, {kUnavailable,
+                                           "such amounts and names are taken once all controllers "
+                                           "are upgraded",
+                                           kRetryAfterUpgradeS});
+        return true;
+    }
     return false;
 }
 
--- a/src/protocol/json_fields.cpp
+++ b/src/protocol/json_fields.cpp
@@ -33,9 +33,9 @@
     return found == map.end() || found->is_null();
 }
 
-std::string string_field(const Json& map, const char* field, std::size_t max_bytes) {
+std::string string_field(const Json& map, const char* field) {
     const Json& value = required_field(map, field);
-    if (!value.is_string() || value.get_ref<const std::string&>().size() > max_bytes) {
+    if (!value.is_string()) {
         throw DecodeError::invalid(field);
     }
     return value.get<std::string>();
--- a/src/protocol/json_fields.hpp
+++ b/src/protocol/json_fields.hpp
@@ -44,16 +44,12 @@
 // products of such amounts are finite.
 inline constexpr double kMaxAmount = 1e12;
 
-// The default limit on the length of a string, in bytes.
-inline constexpr std::size_t kMaxStringBytes = 200;
-
 // Returns the value of a field that must be present and not null.
 const Json& required_field(const Json& map, const char* field);
 // Returns whether the field is absent or null. Never throws.
 bool absent_or_null(const Json& map, const char* field);
-// Reads a required string of at most `max_bytes` bytes.
-std::string string_field(const Json& map, const char* field,
-                         std::size_t max_bytes = kMaxStringBytes);
+// Reads a required string of any length; the size of a body bounds it.
+std::string string_field(const Json& map, const char* field);
 // Reads a required finite number of at least 0, encoded as an integer or as a float. A number above
 // kMaxAmount is read as kMaxAmount, since the protocols set no upper limit.
 double number_field(const Json& map, const char* field);
--- a/src/protocol/peer_frame.cpp
+++ b/src/protocol/peer_frame.cpp
@@ -13,7 +13,7 @@
 // any length. Its text must be UTF-8.
 struct BoundedString {
     std::string& text;
-    static constexpr cereal::size_type kMaxBytes = 512;
+    static constexpr cereal::size_type kMaxBytes = protocol::kMaxFrameBytes;
 
     template <class Archive>
     void save(Archive& archive) const {
@@ -25,7 +25,7 @@
         cereal::size_type size = 0;
         archive(cereal::make_size_tag(size));
         if (size > kMaxBytes) {
-            throw std::length_error("string longer than 512 bytes");
+            throw std::length_error("string longer than a frame");
         }
         text.resize(static_cast<std::size_t>(size));
         archive(cereal::binary_data(text.data(), text.size()));
--- a/tests/value_bounds_test.cpp
+++ b/tests/value_bounds_test.cpp
@@ -6,6 +6,7 @@
 #include <cmath>
 #include <limits>
 
+#include "coordination/controller/submission_validation.hpp"
 #include "sample_cloud_messages.hpp"
 #include "sample_messages.hpp"
 
@@ -72,6 +73,38 @@
     }
 }
 
+// Guards against names that are refused, or lists that are lost, because of a name's length.
+TEST(ValueBounds, ReadsNamesOfAnyLength) {
+    const std::string long_name(3000, 'x');
+    for (const char* field : {"lane", "owner", "bundle", "yard"}) {
+        Json submission = sample_submission();
+        submission[field] = long_name;
+        EXPECT_TRUE(accepted(submission, "/work")) << field;
+    }
+    for (const char* field : {"walker", "endpoint", "build", "yard"}) {
+        Json heartbeat = sample_heartbeat();
+        heartbeat[field] = long_name;
+        EXPECT_TRUE(accepted(heartbeat, "/agent/beat")) << field;
+        const char* listed_field = std::string_view(field) == "walker" ? "uid" : field;
+        Json machine = sample_machine("host-1");
+        machine[listed_field] = long_name;
+        EXPECT_EQ(decode_machine_list({machine}).machines.size(), 1U) << field;
+    }
+}
+
+// Guards against 400 from a controller of an older version when such a submission is repeated.
+TEST(ValueBounds, KnowsWhatOlderVersionsRefuse) {
+    SubmitRequest submission;
+    submission.spec.deadline_s = kFormerMaxAmount;
+    submission.image_name = std::string(kFormerMaxNameBytes, 'x');
+    EXPECT_FALSE(refused_by_former_versions(submission));
+    submission.spec.deadline_s = kFormerMaxAmount + 1;
+    EXPECT_TRUE(refused_by_former_versions(submission));
+    submission.spec.deadline_s = -1;
+    submission.job_class_name = std::string(kFormerMaxNameBytes + 1, 'x');
+    EXPECT_TRUE(refused_by_former_versions(submission));
+}
+
 // Numbers that are no amount at all are still refused, and so is a count above the page's limit.
 TEST(ValueBounds, RejectsNumbersThatAreNoAmounts) {
     for (double number :
