Store lists: a row or event whose key can't be read costs only itself

Callers saw a controller that never loads the store, or stops following it, once one key in a list or in the changes is not text, or not UTF-8: the whole response counted as none.

Cause: the decoder of a row threw out of the list. Now such an entry is logged with its position and left out; no record of ours has such a key. A null value is kept, what it is for finds it unreadable. An entry without its version still makes the response undecodable: it may be the cancellation of a job and can't be ordered. So does a list without any readable key.

--- a/src/protocol/store_codec.cpp
+++ b/src/protocol/store_codec.cpp
@@ -1,6 +1,7 @@
 // Encodes requests to the store and decodes its responses.
 #include <spdlog/spdlog.h>
 
+#include "bookkeeping/unreadable_log.hpp"
 #include "protocol/field_names.hpp"
 #include "protocol/json_fields.hpp"
 #include "protocol/utf8.hpp"
@@ -18,6 +19,8 @@
 constexpr UnpackLimits kStoreLimits{std::size_t{8} * 1024 * 1024, std::size_t{1024} * 1024, 32,
                                     InvalidText::replace};
 
+constexpr const char* kListOfStore = "list of the store";
+
 Json encode_write(const Write& write) {
     if (!write.value) {
         return Json{{fields::kDeletedKey, write.key}};
@@ -85,29 +88,56 @@
 }
 
 // A key must be the one in the store, so it must not contain replaced text.
-std::string key_field(const Json& map, const char* field) {
-    std::string key = string_field(map, field);
-    if (key.find(kReplacementCharacter) != std::string::npos) {
-        throw DecodeError::invalid(field);
+bool is_readable_key(const Json& map, const char* field) {
+    return map.is_object() && map.contains(field) && map[field].is_string() &&
+           map[field].get_ref<const std::string&>().find(kReplacementCharacter) ==
+               std::string::npos;
+}
+
+// Reads a row or an event, whose key is in the given field. A null value is kept; what it is for
+// finds it unreadable.
+StoreEntry decode_entry(const Json& entry, const char* key_field) {
+    StoreEntry row;
+    row.key = string_field(entry, key_field);
+    row.version = unsigned_field(entry, fields::kVersion);
+    if (std::string_view(key_field) != fields::kDeletedKey) {
+        row.value = entry.value(fields::kValue, Json());
     }
-    return key;
+    return row;
 }
 
-StoreEntry decode_row(const Json& row) {
-    return {key_field(row, fields::kKey), required_field(row, fields::kValue),
-            unsigned_field(row, fields::kVersion)};
+// The field that holds the key of an event; null if it is neither a write nor a deletion.
+const char* key_field_of_event(const Json& event) {
+    for (const char* field : {fields::kWrittenKey, fields::kDeletedKey}) {
+        if (!absent_or_null(event, field)) {
+            return field;
+        }
+    }
+    return nullptr;
 }
 
-void decode_event(const Json& event, StoreResponse& response) {
-    if (!absent_or_null(event, fields::kWrittenKey)) {
-        response.rows.push_back({key_field(event, fields::kWrittenKey),
-                                 required_field(event, fields::kValue),
-                                 unsigned_field(event, fields::kVersion)});
-    } else if (!absent_or_null(event, fields::kDeletedKey)) {
-        response.rows.push_back({key_field(event, fields::kDeletedKey), std::nullopt,
-                                 unsigned_field(event, fields::kVersion)});
-    } else {
-        spdlog::warn("store sent an event that is neither a write nor a deletion; ignoring it");
+// Reads the entries of a list. One whose key can't be read costs only itself, as no record of ours
+// has such a key. Without its version, an entry can't be ordered among the other changes of its
+// key, so it makes the whole response undecodable; so does a list without any readable entry.
+template <typename KeyField>
+void decode_entries(const Json& list, KeyField key_field, StoreResponse& response) {
+    std::size_t unreadable_keys = 0;
+    for (std::size_t position = 0; position < list.size(); ++position) {
+        const Json& entry = list[position];
+        const char* field = key_field(entry);
+        if (!field) {
+            log_unreadable(kListOfStore, "#" + std::to_string(position),
+                           "neither a write nor a deletion");
+        } else if (is_readable_key(entry, field)) {
+            response.rows.push_back(decode_entry(entry, field));
+        } else {
+            ++unreadable_keys;
+            log_unreadable(kListOfStore, "#" + std::to_string(position),
+                           DecodeError::invalid(field).what());
+        }
+    }
+    if (response.rows.empty() && unreadable_keys > 0) {
+        throw DecodeError::invalid(fields::kKey);
     }
 }
 
@@ -116,9 +146,15 @@
     if (!absent_or_null(body, fields::kRevision)) {
         response.revision = unsigned_field(body, fields::kRevision);
     }
-    if (!absent_or_null(body, fields::kFailedComparisons)) {
-        for (const Json& key : body[fields::kFailedComparisons]) {
+    if (absent_or_null(body, fields::kFailedComparisons)) {
+        return;
+    }
+    for (const Json& key : list_field(body, fields::kFailedComparisons)) {
+        if (key.is_string()) {
             response.failed.push_back(key.get<std::string>());
+        } else {
+            log_unreadable(kListOfStore, key.dump(),
+                           DecodeError::invalid(fields::kFailedComparisons).what());
         }
     }
 }
@@ -127,18 +163,19 @@
 void decode_result(const Json& body, StoreOperation operation, StoreResponse& response) {
     switch (operation) {
         case StoreOperation::get:
-            response.rows.push_back(decode_row(body));
+            if (!is_readable_key(body, fields::kKey)) {
+                throw DecodeError::invalid(fields::kKey);
+            }
+            response.rows.push_back(decode_entry(body, fields::kKey));
             break;
         case StoreOperation::list:
-            for (const Json& row : required_field(body, fields::kRows)) {
-                response.rows.push_back(decode_row(row));
-            }
+            decode_entries(
+                list_field(body, fields::kRows), [](const Json&) { return fields::kKey; },
+                response);
             response.more = optional_flag(body, fields::kTruncated);
             break;
         case StoreOperation::changes:
-            for (const Json& event : required_field(body, fields::kEvents)) {
-                decode_event(event, response);
-            }
+            decode_entries(list_field(body, fields::kEvents), key_field_of_event, response);
             break;
         case StoreOperation::lease_grant:
             response.lease = unsigned_field(body, fields::kLease);
@@ -226,11 +263,6 @@
         spdlog::warn("cannot decode a response of the store: {}; treating it as no response",
                      error.what());
         mark_undecodable(response);
-    } catch (const Json::exception&) {
-        spdlog::warn(
-            "cannot decode a response of the store: a value has an unexpected type; treating it as "
-            "no response");
-        mark_undecodable(response);
     }
     return response;
 }
--- a/tests/unreadable_entries_test.cpp
+++ b/tests/unreadable_entries_test.cpp
@@ -5,8 +5,10 @@
 
 #include <sstream>
 
+#include "bookkeeping/registry_record.hpp"
 #include "bookkeeping/unreadable_log.hpp"
 #include "coordination/controller/submission_validation.hpp"
+#include "coordination/zone_failover/zone_record.hpp"
 #include "leader_harness.hpp"
 #include "sample_cloud_messages.hpp"
 #include "sample_messages.hpp"
@@ -17,6 +19,8 @@
 // Values of a wrong type or outside every range, for any field but a boolean.
 const std::vector<Json> kUnreadableValues{-1, Json::array(), Json::object(), nullptr};
 
+constexpr auto kReplace = Json::error_handler_t::replace;
+
 // Collects the log lines that are written while it exists.
 class LogCapture {
   public:
@@ -123,6 +127,42 @@
     }
 }
 
+StoreResponse decode_store(StoreOperation operation, const Json& body) {
+    StoreRequest request;
+    request.operation = operation;
+    return protocol::decode_store_response(request, 200, protocol::pack(body));
+}
+
+// Guards against a controller that can't follow the store because of one key that is not its own.
+TEST(UnreadableEntries, AStoreEntryWithAnUnreadableKeyCostsOnlyItself) {
+    const Json value = Json::object();
+    for (const Json& key : {Json(5), Json("w/j/R\374ck"), Json(Json::array())}) {
+        Json row{{"k", key}, {"value", value}, {"stamp", 3}};
+        Json good{{"k", "w/j/j-1"}, {"value", value}, {"stamp", 4}};
+        StoreResponse response =
+            decode_store(StoreOperation::list, Json{{"ledgerRev", 9}, {"rows", {row, good}}});
+        EXPECT_EQ(response.status, StoreStatus::ok) << key.dump(-1, ' ', true, kReplace);
+        ASSERT_EQ(response.rows.size(), 1U);
+        EXPECT_EQ(response.rows[0].key, "w/j/j-1");
+        Json dropped{{"drop", key}, {"stamp", 3}};
+        Json written{{"write", "w/j/j-1"}, {"value", value}, {"stamp", 4}};
+        response = decode_store(StoreOperation::changes,
+                                Json{{"ledgerRev", 9}, {"events", {dropped, written}}});
+        EXPECT_EQ(response.status, StoreStatus::ok);
+        EXPECT_EQ(response.rows.size(), 1U);
+    }
+}
+
+// A change that can't be ordered must not be skipped: it may be the cancellation of a job.
+TEST(UnreadableEntries, AStoreEntryWithoutAReadableVersionMakesTheResponseUndecodable) {
+    Json unordered{{"write", "w/j/j-1"}, {"value", Json::object()}, {"stamp", "x"}};
+    Json good{{"write", "w/j/j-2"}, {"value", Json::object()}, {"stamp", 4}};
+    EXPECT_EQ(
+        decode_store(StoreOperation::changes, Json{{"ledgerRev", 9}, {"events", {good, unordered}}})
+            .status,
+        StoreStatus::no_response);
+}
+
 WorkerStatus decode_heartbeat(const Json& body) {
     auto parsed =
         protocol::parse_request(1, protocol::Method::post, "/agent/beat", protocol::pack(body));
