Stored records: what can't be read is logged with its field, and costs only itself

Counts above 2^32 were cut to another number.

Cause: the codecs of the records returned "nothing" for any exception of the JSON library; integers were converted without a check of their range. Now fields are read through record_field(), which names the field. A job that can't be read is known to exist: requests for it get 503.

A placement record or a part of the registry that can't be read still stops what depends on it, as before: where its tasks run is unknown, and a guess would start them twice. Now this is logged.

Seen to fail before (each change taken out in a scratch copy): ALogLineNamesTheStoredRecordAndTheField, AStoredCountOutOfRangeIsNotTruncated, AStoredMachineTypeThatCannotBeReadCostsOnlyItself and AnUnreadableJobIsKnownToExist of UnreadableEntries.

--- a/src/bookkeeping/cluster_state_records.cpp
+++ b/src/bookkeeping/cluster_state_records.cpp
@@ -93,7 +93,10 @@
                                          Ms now) {
     const JobSpec& spec = jobs[job_id].spec;
     std::vector<TaskRecord> records(placement_record(job_id, index).tasks.size());
-    if (!decode_placement_record(stored.value, records)) {
+    if (!decode_placement_record(stored.value, records,
+                                 keys::placement_record(jobs[job_id].spec.id, index))) {
+        // Where its tasks run is unknown, so none may be started: every write of the record
+        // conflicts with the stored one.
         return;
     }
     for (std::uint32_t i = 0; i < records.size(); ++i) {
--- a/src/bookkeeping/controller_records.cpp
+++ b/src/bookkeeping/controller_records.cpp
@@ -1,5 +1,8 @@
 #include "bookkeeping/controller_records.hpp"
 
+#include "bookkeeping/record_field.hpp"
+#include "bookkeeping/unreadable_log.hpp"
+
 namespace walkford {
 
 namespace {
@@ -17,10 +20,11 @@
 
 Json encode_announcement(std::uint32_t level) { return Json{{kFeatureLevel, level}}; }
 
-std::optional<std::uint32_t> decode_announcement(const Json& value) {
+std::optional<std::uint32_t> decode_announcement(const Json& value, const std::string& controller) {
     try {
-        return value.at(kFeatureLevel).get<std::uint32_t>();
-    } catch (const Json::exception&) {
+        return record_field<std::uint32_t>(value, kFeatureLevel);
+    } catch (const RecordError& error) {
+        log_unreadable("announcements in the store", controller, error.what());
         return std::nullopt;
     }
 }
@@ -29,11 +33,12 @@
     return Json{{kFencingToken, relay.fencing_token}, {kZone, relay.zone}};
 }
 
-std::optional<RelayRecord> decode_relay(const Json& value) {
+std::optional<RelayRecord> decode_relay(const Json& value, const std::string& controller) {
     try {
-        return RelayRecord{value.at(kFencingToken).get<std::uint64_t>(),
-                           value.at(kZone).get<std::string>()};
-    } catch (const Json::exception&) {
+        return RelayRecord{record_field<std::uint64_t>(value, kFencingToken),
+                           record_field<std::string>(value, kZone)};
+    } catch (const RecordError& error) {
+        log_unreadable("relays in the store", controller, error.what());
         return std::nullopt;
     }
 }
@@ -44,9 +49,10 @@
 
 std::optional<LeaderRecord> decode_leader(const Json& value) {
     try {
-        return LeaderRecord{value.at(kController).get<std::string>(),
-                            value.at(kIncarnation).get<std::string>()};
-    } catch (const Json::exception&) {
+        return LeaderRecord{record_field<std::string>(value, kController),
+                            record_field<std::string>(value, kIncarnation)};
+    } catch (const RecordError& error) {
+        log_unreadable("records in the store", "leader", error.what());
         return std::nullopt;
     }
 }
--- a/src/bookkeeping/finished_job_record.cpp
+++ b/src/bookkeeping/finished_job_record.cpp
@@ -2,6 +2,9 @@
 
 #include <string>
 
+#include "bookkeeping/record_field.hpp"
+#include "bookkeeping/unreadable_log.hpp"
+
 namespace walkford {
 
 namespace {
@@ -18,11 +21,12 @@
     return Json{{kStatus, ended.cancelled ? kStatusCancelled : kStatusDone}, {kTasks, ended.tasks}};
 }
 
-std::optional<FinishedJobRecord> decode_finished_job(const Json& value) {
+std::optional<FinishedJobRecord> decode_finished_job(const Json& value, const std::string& id) {
     try {
-        return FinishedJobRecord{value.at(kStatus).get<std::string>() == kStatusCancelled,
-                                 value.at(kTasks).get<std::uint32_t>()};
-    } catch (const Json::exception&) {
+        return FinishedJobRecord{record_field<std::string>(value, kStatus) == kStatusCancelled,
+                                 record_field<std::uint32_t>(value, kTasks)};
+    } catch (const RecordError& error) {
+        log_unreadable("finished jobs in the store", id, error.what());
         return std::nullopt;
     }
 }
--- a/src/bookkeeping/finished_job_record.hpp
+++ b/src/bookkeeping/finished_job_record.hpp
@@ -17,7 +17,8 @@
 
 // Returns the value stored for a finished job. The job's id is part of the key, not of the value.
 Json encode_finished_job(const FinishedJobRecord& ended);
-// Returns nullopt if the value is not such a record.
-std::optional<FinishedJobRecord> decode_finished_job(const Json& value);
+// Returns nullopt if the value is not such a record, and logs the field. `id`: the job's, for the
+// log line.
+std::optional<FinishedJobRecord> decode_finished_job(const Json& value, const std::string& id = "");
 
 }  // namespace walkford
--- a/src/bookkeeping/job_record.cpp
+++ b/src/bookkeeping/job_record.cpp
@@ -2,6 +2,9 @@
 
 #include <algorithm>
 
+#include "bookkeeping/record_field.hpp"
+#include "bookkeeping/unreadable_log.hpp"
+
 namespace walkford {
 
 namespace {
@@ -80,16 +83,15 @@
         spec.any_machine_type = false;
         for (const Json& machine_type : value[kMachineTypes]) {
             spec.machine_types.push_back(
-                names.machine_types.intern(machine_type.get<std::string>()));
+                names.machine_types.intern(convert_item<std::string>(machine_type, kMachineTypes)));
         }
     }
     if (value.contains(kZone)) {
-        spec.zone = names.zones.intern(value[kZone].get<std::string>());
+        spec.zone = names.zones.intern(record_field<std::string>(value, kZone));
     }
     if (value.contains(kImage)) {
-        const Json& image = value[kImage];
-        spec.image = names.images.intern(image.at(0).get<std::string>());
-        spec.image_gb = image.at(1).get<double>();
+        spec.image = names.images.intern(record_element<std::string>(value, kImage, 0));
+        spec.image_gb = record_element<double>(value, kImage, 1);
     }
 }
 
@@ -99,14 +101,40 @@
 }
 
 void decode_amounts(const Json& value, JobSpec& spec) {
-    const Json& each = value.at(kResourcesEach);
-    spec.task_resources = {each.at(0).get<double>(), each.at(1).get<double>(),
-                           each.at(2).get<double>()};
-    const Json& times = value.at(kTimes);
-    spec.estimate_s = times.at(0).get<double>();
-    spec.checkpoint_interval_s = times.at(1).get<double>();
-    spec.checkpoint_duration_s = times.at(2).get<double>();
-    spec.deadline_s = times.at(3).get<double>();
+    spec.task_resources = {record_element<double>(value, kResourcesEach, 0),
+                           record_element<double>(value, kResourcesEach, 1),
+                           record_element<double>(value, kResourcesEach, 2)};
+    spec.estimate_s = record_element<double>(value, kTimes, 0);
+    spec.checkpoint_interval_s = record_element<double>(value, kTimes, 1);
+    spec.checkpoint_duration_s = record_element<double>(value, kTimes, 2);
+    spec.deadline_s = record_element<double>(value, kTimes, 3);
+}
+
+// Throws RecordError if a field can't be read.
+JobRecord decode_fields(const std::string& id, const Json& value, Names& names) {
+    JobRecord job;
+    job.cancelled = record_field<std::string>(value, kStatus) == kStatusCancelled;
+    JobSpec& spec = job.spec;
+    spec.id = id;
+    int flags = record_field<int>(value, kFlags);
+    spec.shape = decode_shape(flags);
+    spec.tasks = record_field<std::uint32_t>(value, count_field(spec));
+    spec.tasks_per_record =
+        std::max<std::uint32_t>(1, record_field<std::uint32_t>(value, kTasksPerRecord));
+    spec.team = names.teams.intern(record_field<std::string>(value, kTeam));
+    if (value.contains(kJobClass)) {
+        spec.job_class = names.job_classes.intern(record_field<std::string>(value, kJobClass));
+    }
+    spec.priority = decode_priority(record_field<int>(value, kPriority));
+    spec.one_zone = (flags & kFlagOneZone) != 0;
+    spec.spread = (flags & kFlagSpread) != 0;
+    spec.spot = (flags & kFlagSpot) != 0;
+    decode_amounts(value, spec);
+    decode_constraints(value, names, spec);
+    if (!counts_are_valid(spec)) {
+        throw RecordError::invalid(count_field(spec));
+    }
+    return job;
 }
 }  // namespace
 
@@ -141,30 +169,9 @@
 
 std::optional<JobRecord> decode_job(const std::string& id, const Json& value, Names& names) {
     try {
-        JobRecord job;
-        job.cancelled = value.at(kStatus).get<std::string>() == kStatusCancelled;
-        JobSpec& spec = job.spec;
-        spec.id = id;
-        int flags = value.at(kFlags).get<int>();
-        spec.shape = decode_shape(flags);
-        spec.tasks = value.at(count_field(spec)).get<std::uint32_t>();
-        spec.tasks_per_record =
-            std::max<std::uint32_t>(1, value.at(kTasksPerRecord).get<std::uint32_t>());
-        spec.team = names.teams.intern(value.at(kTeam).get<std::string>());
-        if (value.contains(kJobClass)) {
-            spec.job_class = names.job_classes.intern(value[kJobClass].get<std::string>());
-        }
-        spec.priority = decode_priority(value.at(kPriority).get<int>());
-        spec.one_zone = (flags & kFlagOneZone) != 0;
-        spec.spread = (flags & kFlagSpread) != 0;
-        spec.spot = (flags & kFlagSpot) != 0;
-        decode_amounts(value, spec);
-        decode_constraints(value, names, spec);
-        if (!counts_are_valid(spec)) {
-            return std::nullopt;
-        }
-        return job;
-    } catch (const Json::exception&) {
+        return decode_fields(id, value, names);
+    } catch (const RecordError& error) {
+        log_unreadable("jobs in the store", id, error.what());
         return std::nullopt;
     }
 }
--- a/src/bookkeeping/machine_types_record.cpp
+++ b/src/bookkeeping/machine_types_record.cpp
@@ -1,7 +1,11 @@
 #include "bookkeeping/machine_types_record.hpp"
 
+#include <array>
 #include <string>
 
+#include "bookkeeping/record_field.hpp"
+#include "bookkeeping/unreadable_log.hpp"
+
 namespace walkford {
 
 namespace {
@@ -29,19 +33,39 @@
                         machine_type.boot_s, std::move(zones)});
 }
 
+constexpr const char* kListOfTypes = "machine types in the store";
+
+// The names of the elements, for log lines.
+constexpr std::array kElementNames{"name",           "cpus",  "gpus",       "memory", "cache_gb",
+                                   "fetch_gb_per_s", "price", "spot_price", "boot_s", "zones"};
+
+const Json& element(const Json& row, std::size_t index) {
+    if (!row.is_array() || index >= row.size()) {
+        throw RecordError::missing(kElementNames.at(index));
+    }
+    return row[index];
+}
+
+template <typename Value>
+Value read_element(const Json& row, std::size_t index) {
+    return convert_item<Value>(element(row, index), kElementNames.at(index));
+}
+
 MachineType decode_machine_type(const Json& row, Names& names) {
     MachineType machine_type;
-    machine_type.id = names.machine_types.intern(row.at(kName).get<std::string>());
-    machine_type.size = {row.at(kCpus).get<double>(), row.at(kGpus).get<double>(),
-                         row.at(kMemory).get<double>()};
-    machine_type.cache_gb = row.at(kCacheGb).get<double>();
-    machine_type.fetch_gb_per_s = row.at(kFetchGbPerS).get<double>();
-    machine_type.price = row.at(kPrice).get<double>();
-    machine_type.spot_price = row.at(kSpotPrice).get<double>();
-    machine_type.boot_s = row.at(kBootS).get<double>();
-    for (const Json& zone : row.at(kZones)) {
-        machine_type.zones.push_back(names.zones.intern(zone.get<std::string>()));
+    std::string name = read_element<std::string>(row, kName);
+    machine_type.size = {read_element<double>(row, kCpus), read_element<double>(row, kGpus),
+                         read_element<double>(row, kMemory)};
+    machine_type.cache_gb = read_element<double>(row, kCacheGb);
+    machine_type.fetch_gb_per_s = read_element<double>(row, kFetchGbPerS);
+    machine_type.price = read_element<double>(row, kPrice);
+    machine_type.spot_price = read_element<double>(row, kSpotPrice);
+    machine_type.boot_s = read_element<double>(row, kBootS);
+    for (const Json& zone : element(row, kZones)) {
+        machine_type.zones.push_back(
+            names.zones.intern(convert_item<std::string>(zone, kElementNames.at(kZones))));
     }
+    machine_type.id = names.machine_types.intern(name);
     return machine_type;
 }
 }  // namespace
@@ -54,16 +78,22 @@
     return value;
 }
 
-std::vector<MachineType> decode_machine_types(const Json& value, Names& names) {
-    std::vector<MachineType> machine_types;
-    try {
-        for (const Json& row : value) {
-            machine_types.push_back(decode_machine_type(row, names));
+StoredMachineTypes decode_machine_types(const Json& value, Names& names) {
+    StoredMachineTypes stored;
+    std::size_t position = 0;
+    for (const Json& row : value) {
+        try {
+            stored.machine_types.push_back(decode_machine_type(row, names));
+        } catch (const RecordError& error) {
+            bool named = row.is_array() && !row.empty() && row[kName].is_string();
+            log_unreadable(kListOfTypes,
+                           named ? row[kName].get<std::string>() : "#" + std::to_string(position),
+                           error.what());
+            stored.complete = false;
         }
-    } catch (const Json::exception&) {
-        machine_types.clear();
+        ++position;
     }
-    return machine_types;
+    return stored;
 }
 
 }  // namespace walkford
--- a/src/bookkeeping/machine_types_record.hpp
+++ b/src/bookkeeping/machine_types_record.hpp
@@ -11,8 +11,12 @@
 
 // Returns the value stored for the machine types.
 Json encode_machine_types(const std::vector<MachineType>& machine_types, const Names& names);
-// Returns an empty list if the value is not such a record. Adds the names of machine types and
-// zones to `names`.
-std::vector<MachineType> decode_machine_types(const Json& value, Names& names);
+// The machine types in a stored record.
+struct StoredMachineTypes {
+    std::vector<MachineType> machine_types;
+    bool complete = true;  // false if one could not be read, which is logged
+};
+// Returns the machine types that can be read. Adds the names of machine types and zones to `names`.
+StoredMachineTypes decode_machine_types(const Json& value, Names& names);
 
 }  // namespace walkford
--- a/src/bookkeeping/placement_record.cpp
+++ b/src/bookkeeping/placement_record.cpp
@@ -2,6 +2,8 @@
 
 #include <map>
 
+#include "bookkeeping/unreadable_log.hpp"
+
 namespace walkford {
 
 namespace {
@@ -81,24 +83,30 @@
     return value;
 }
 
-bool decode_placement_record(const Json& value, std::vector<TaskRecord>& tasks) {
+bool decode_placement_record(const Json& value, std::vector<TaskRecord>& tasks,
+                             const std::string& key) {
+    const char* field = "record";  // the one that is being decoded
     try {
         for (TaskRecord& task : tasks) {
             task = {};
         }
         if (value.contains(kDone)) {
+            field = kDone;
             decode_done(value[kDone], tasks);
         }
         if (value.contains(kAttempts)) {
+            field = kAttempts;
             decode_attempts(value[kAttempts], "", tasks);
         }
         if (value.contains(kMachines)) {
+            field = kMachines;
             for (const auto& [machine, list] : value[kMachines].items()) {
                 decode_attempts(list, machine, tasks);
             }
         }
         return true;
     } catch (const std::exception&) {
+        log_unreadable("placement records in the store", key, std::string("bad ") + field);
         return false;
     }
 }
--- a/src/bookkeeping/placement_record.hpp
+++ b/src/bookkeeping/placement_record.hpp
@@ -23,8 +23,9 @@
 Json encode_placement_record(const std::vector<TaskRecord>& tasks);
 // Sets the elements of `tasks`, which must already have the record's size. Returns false if the
 // value is not such a record or names a task beyond that size; the contents of `tasks` are then
-// undefined.
-bool decode_placement_record(const Json& value, std::vector<TaskRecord>& tasks);
+// undefined, and the field is logged. `key`: of the record, for the log line.
+bool decode_placement_record(const Json& value, std::vector<TaskRecord>& tasks,
+                             const std::string& key = "");
 
 // The numbers of done and of placed tasks, for display to users.
 struct PlacementCounts {
--- a/src/bookkeeping/registry_record.cpp
+++ b/src/bookkeeping/registry_record.cpp
@@ -8,6 +8,8 @@
 #include <stdexcept>
 
 #include "bookkeeping/number_series.hpp"
+#include "bookkeeping/record_field.hpp"
+#include "bookkeeping/unreadable_log.hpp"
 
 namespace walkford {
 
@@ -167,23 +169,19 @@
     return rows;
 }
 
-// Decodes one stored value. Its functions throw an exception if the value has another structure,
-// and return false or nullopt if a number series can't be decoded.
+// Decodes one stored value. Its functions throw an exception that names the field.
 class RegistryReader {
   public:
     RegistryReader(const Json& value, Names& names)
         : value_(value), names_(names), has_name_lists_(value.contains(kMachineTypes)) {}
 
-    std::optional<RegistryRecord> read() {
+    RegistryRecord read() {
         RegistryRecord registry;
-        registry.next_request_number = value_.at(kNextRequestNumber).get<std::uint64_t>();
-        registry.first_scale_out_done = value_.at(kFirstScaleOutDone).get<int>() != 0;
-        bool complete = read_machines(registry.machines) &&
-                        read_marks(kPermanent, &RegisteredMachine::permanent, registry.machines) &&
-                        read_marks(kReleasing, &RegisteredMachine::releasing, registry.machines);
-        if (!complete) {
-            return std::nullopt;
-        }
+        registry.next_request_number = record_field<std::uint64_t>(value_, kNextRequestNumber);
+        registry.first_scale_out_done = record_field<int>(value_, kFirstScaleOutDone) != 0;
+        read_machines(registry.machines);
+        read_marks(kPermanent, &RegisteredMachine::permanent, registry.machines);
+        read_marks(kReleasing, &RegisteredMachine::releasing, registry.machines);
         read_scale_out_requests(registry.scale_out_requests);
         return registry;
     }
@@ -208,11 +206,19 @@
         return series;
     }
 
+    static Numbers decode_numbers(const std::string& text) {
+        auto numbers = decode_number_series(text);
+        if (!numbers) {
+            throw std::invalid_argument("numbers of machines");
+        }
+        return *numbers;
+    }
+
     // Before version 0.2, rows contained the numbers themselves; version 0.2 wrote the differences
     // between successive numbers as decimal numbers.
-    std::optional<Numbers> read_numbers(const Json& column) const {
+    Numbers read_numbers(const Json& column) const {
         if (column.is_string()) {
-            return decode_number_series(column.get_ref<const std::string&>());
+            return decode_numbers(column.get_ref<const std::string&>());
         }
         Numbers numbers;
         std::uint64_t last = 0;
@@ -223,53 +229,59 @@
         return numbers;
     }
 
-    bool read_machines(std::vector<RegisteredMachine>& machines) {
-        for (const Json& row : value_.at(kMachines)) {
+    // Calls `read` for each row of a field.
+    template <typename Read>
+    static void read_rows(const Json& rows, const char* field, Read read) {
+        std::size_t position = 0;
+        for (const Json& row : rows) {
+            try {
+                read(row);
+            } catch (const std::exception& error) {
+                throw RecordError::invalid(std::string(field) + ", row " +
+                                           std::to_string(position) + ": " + error.what());
+            }
+            ++position;
+        }
+    }
+
+    void read_machines(std::vector<RegisteredMachine>& machines) {
+        read_rows(record_item(value_, kMachines), kMachines, [&](const Json& row) {
             NameSeries series = read_series(row);
             Id machine_type_id = machine_type(row.at(2));
             Id zone_id = zone(row.at(3));
             int flags = row.at(4).get<int>();
-            auto numbers = read_numbers(row.at(5));
-            if (!numbers) {
-                return false;
-            }
-            for (std::uint64_t number : *numbers) {
+            for (std::uint64_t number : read_numbers(row.at(5))) {
                 machines.push_back({join_name(series, number), machine_type_id, zone_id,
                                     (flags & kFlagSpot) != 0, (flags & kFlagPermanent) != 0,
                                     (flags & kFlagReleasing) != 0});
             }
-        }
-        return true;
+        });
     }
 
-    bool read_marks(const char* field, bool RegisteredMachine::*mark,
+    void read_marks(const char* field, bool RegisteredMachine::*mark,
                     std::vector<RegisteredMachine>& machines) const {
         std::set<std::string> marked;
-        for (const Json& row : value_.value(field, Json::array())) {
-            auto numbers = decode_number_series(row.at(2).get<std::string>());
-            if (!numbers) {
-                return false;
-            }
+        read_rows(value_.value(field, Json::array()), field, [&](const Json& row) {
             NameSeries series = read_series(row);
-            for (std::uint64_t number : *numbers) {
+            for (std::uint64_t number : decode_numbers(row.at(2).get<std::string>())) {
                 marked.insert(join_name(series, number));
             }
-        }
+        });
         for (RegisteredMachine& machine : machines) {
             if (marked.count(machine.name) > 0) {
                 machine.*mark = true;
             }
         }
-        return true;
     }
 
     void read_scale_out_requests(std::vector<ScaleOutRequest>& requests) {
-        for (const Json& row : value_.at(kScaleOutRequests)) {
+        const Json& rows = record_item(value_, kScaleOutRequests);
+        read_rows(rows, kScaleOutRequests, [&](const Json& row) {
             int flags = row.at(3).get<int>();
             requests.push_back({row.at(0).get<std::string>(), machine_type(row.at(1)),
                                 zone(row.at(2)), (flags & kFlagSpot) != 0,
                                 row.at(4).get<std::uint32_t>(), (flags & kFlagPermanent) != 0});
-        }
+        });
     }
 
     const Json& value_;
@@ -293,10 +305,12 @@
     return value;
 }
 
-std::optional<RegistryRecord> decode_registry(const Json& value, Names& names) {
+std::optional<RegistryRecord> decode_registry(const Json& value, Names& names,
+                                              const std::string& key) {
     try {
         return RegistryReader(value, names).read();
-    } catch (const std::exception&) {
+    } catch (const std::exception& error) {
+        log_unreadable("registry in the store", key, error.what());
         return std::nullopt;
     }
 }
--- a/src/bookkeeping/registry_record.hpp
+++ b/src/bookkeeping/registry_record.hpp
@@ -44,7 +44,9 @@
 // Returns the value stored for a part of the registry.
 Json encode_registry(const RegistryRecord& registry, const Names& names);
 // Reads records written by this version and by all earlier ones. Returns nullopt if the value is
-// not such a record. Adds the names of machine types and zones to `names`.
-std::optional<RegistryRecord> decode_registry(const Json& value, Names& names);
+// not such a record, and logs the field. Adds the names of machine types and zones to `names`.
+// `key`: of the record, for the log line.
+std::optional<RegistryRecord> decode_registry(const Json& value, Names& names,
+                                              const std::string& key = "");
 
 }  // namespace walkford
--- a/src/coordination/cloud/machine_registry.cpp
+++ b/src/coordination/cloud/machine_registry.cpp
@@ -25,7 +25,7 @@
 bool MachineRegistry::load() {
     ControllerContext& controller = context_.controller;
     for (const auto& [index, stored] : controller.replica.registry_parts) {
-        auto record = decode_registry(stored.value, controller.names);
+        auto record = decode_registry(stored.value, controller.names, keys::registry_part(index));
         if (!record) {
             spdlog::error("part {} of the stored machine registry can't be decoded", index);
             parts_.clear();
--- a/src/coordination/controller/controller.cpp
+++ b/src/coordination/controller/controller.cpp
@@ -231,8 +231,10 @@
 
 void Controller::load_machine_types() {
     if (context_.replica.machine_types) {
-        context_.machine_types =
+        StoredMachineTypes stored =
             decode_machine_types(*context_.replica.machine_types, context_.names);
+        context_.machine_types = std::move(stored.machine_types);
+        context_.machine_types_complete = stored.complete;
     }
 }
 
--- a/src/coordination/controller/user_requests.cpp
+++ b/src/coordination/controller/user_requests.cpp
@@ -137,6 +137,11 @@
         callback(now, LookupResult::found);
         return;
     }
+    if (context_.replica.has_unreadable_job(job.job_id)) {
+        respond_with_failure(job.request,
+                             {http_status::kServiceUnavailable, "the job can't be read"});
+        return;
+    }
     // The confirmed replica has no live job of this id, so the job ended long ago or was never
     // accepted. One transaction moves a job from the live to the ended jobs, so this later read
     // can't miss it.
@@ -159,7 +164,8 @@
     }
     bool has_value = response.status == StoreStatus::ok && response.rows.size() == 1 &&
                      response.rows.front().value.has_value();
-    auto ended = has_value ? decode_finished_job(*response.rows.front().value) : std::nullopt;
+    auto ended =
+        has_value ? decode_finished_job(*response.rows.front().value, job.job_id) : std::nullopt;
     if (!ended) {
         respond_with_failure(job.request, {http_status::kServiceUnavailable, kStoreUnavailable});
         return;
--- a/src/coordination/leader/placement_writer.cpp
+++ b/src/coordination/leader/placement_writer.cpp
@@ -185,7 +185,7 @@
         return;
     }
     std::vector<TaskRecord> stored(record.tasks.size());
-    if (decode_placement_record(*response.rows[0].value, stored)) {
+    if (decode_placement_record(*response.rows[0].value, stored, response.rows[0].key)) {
         cluster.commit(ref.job_id, ref.index, stored, response.rows[0].version);
     }
 }
--- a/src/coordination/store/store_replica.cpp
+++ b/src/coordination/store/store_replica.cpp
@@ -110,6 +110,7 @@
     if (known != jobs_.end() && row.version <= known->second.version) {
         return false;
     }
+    unreadable_jobs_.erase(job_id);
     if (!row.value) {
         if (known != jobs_.end()) {
             jobs_.erase(known);
@@ -118,6 +119,7 @@
     }
     auto record = decode_job(job_id, *row.value, names_);
     if (!record) {
+        unreadable_jobs_.insert(job_id);
         return false;
     }
     if (known == jobs_.end()) {
@@ -133,7 +135,7 @@
     if (!row.value) {
         return false;
     }
-    auto record = decode_finished_job(*row.value);
+    auto record = decode_finished_job(*row.value, row.key);
     if (!record) {
         return false;
     }
@@ -152,7 +154,7 @@
         relays.erase(known);
     }
     if (row.value) {
-        Relay relay{decode_relay(*row.value), row.version};
+        Relay relay{decode_relay(*row.value, controller), row.version};
         count_relay_change(relay);
         relays[controller] = std::move(relay);
     }
@@ -180,8 +182,9 @@
 }
 
 bool StoreReplica::apply_announcement(const StoreEntry& row) {
-    Announcement& known = announced_levels[row.key.substr(keys::kAnnouncements.size())];
-    auto level = row.value ? decode_announcement(*row.value) : std::nullopt;
+    std::string controller = row.key.substr(keys::kAnnouncements.size());
+    Announcement& known = announced_levels[controller];
+    auto level = row.value ? decode_announcement(*row.value, controller) : std::nullopt;
     if (row.version <= known.version || !level) {
         return false;
     }
@@ -202,6 +205,7 @@
 void StoreReplica::begin_snapshot() {
     loading_snapshot_ = true;
     snapshot_keys_.clear();
+    unreadable_jobs_.clear();
     // A snapshot does not show records that were created and deleted since the last change seen.
     ++relay_changes_in_any_zone_;
 }
--- a/src/coordination/store/store_replica.hpp
+++ b/src/coordination/store/store_replica.hpp
@@ -37,6 +37,10 @@
 
     // The live job with this id, or null if there is none.
     const StoredJob* job(const std::string& job_id) const;
+    // Whether a live job with this id is stored that can't be decoded.
+    bool has_unreadable_job(const std::string& job_id) const {
+        return unreadable_jobs_.contains(job_id);
+    }
     // The live jobs by id.
     const std::map<std::string, StoredJob>& jobs() const { return jobs_; }
     // The placement records of a job by index, or null if it has none.
@@ -99,6 +103,7 @@
     Names& names_;
     std::uint64_t revision_ = 0;
     std::map<std::string, StoredJob> jobs_;
+    std::set<std::string> unreadable_jobs_;
     std::map<std::string, std::map<std::uint32_t, StoredValue>> placement_records_;
     // Only the records of the most recently finished jobs stay in memory. The others are read from
     // the store on request.
--- a/src/coordination/zone_failover/zone_record.hpp
+++ b/src/coordination/zone_failover/zone_record.hpp
@@ -33,7 +33,8 @@
 
 // Encodes a record as it is stored.
 nlohmann::json encode_zone(const ZoneRecord& record);
-// Decodes a stored record. Returns nullopt if the value is malformed.
-std::optional<ZoneRecord> decode_zone(const nlohmann::json& value);
+// Decodes a stored record. Returns nullopt if the value is malformed, and logs the field. `zone`:
+// its name, for the log line.
+std::optional<ZoneRecord> decode_zone(const nlohmann::json& value, const std::string& zone = "");
 
 }  // namespace walkford
--- a/src/coordination/zone_failover/zone_record_store.cpp
+++ b/src/coordination/zone_failover/zone_record_store.cpp
@@ -32,7 +32,7 @@
         return;
     }
     write.version = stored->second.version;
-    auto record = decode_zone(stored->second.value);
+    auto record = decode_zone(stored->second.value, zone.name);
     if (!record) {
         spdlog::warn("zone {}: stored failover record cannot be decoded; treating the zone as up",
                      zone.name);
--- a/tests/compatibility_test.cpp
+++ b/tests/compatibility_test.cpp
@@ -154,7 +154,7 @@
     EXPECT_EQ(decoded_registry->scale_out_requests.at(0).name, "w5-11");
     EXPECT_TRUE(decode_finished_job(stored["ended_cancelled"])->cancelled);
     EXPECT_EQ(decode_leader(stored["leader"])->controller, "walker-2");
-    EXPECT_EQ(decode_machine_types(stored["kinds"], names).size(), 1U);
+    EXPECT_EQ(decode_machine_types(stored["kinds"], names).machine_types.size(), 1U);
 }
 
 // Version 0.3.0 requires the field `n` in a job record and ignores records without it. The record
--- a/tests/unreadable_entries_test.cpp
+++ b/tests/unreadable_entries_test.cpp
@@ -163,6 +163,64 @@
         StoreStatus::no_response);
 }
 
+// Guards against a silent loss: each kind of stored record that can't be read is logged with its
+// key and the field.
+TEST(UnreadableEntries, ALogLineNamesTheStoredRecordAndTheField) {
+    Names names;
+    LogCapture log;
+    EXPECT_FALSE(decode_job("j-77", Json{{"s", "a"}, {"f", "x"}}, names));
+    EXPECT_FALSE(decode_finished_job(Json{{"s", "d"}, {"n", -1}}, "j-78"));
+    EXPECT_FALSE(decode_announcement(Json::object(), "n7"));
+    EXPECT_FALSE(decode_relay(Json{{"t", 1}, {"z", 5}}, "n8"));
+    EXPECT_FALSE(decode_leader(Json{{"node", "n1"}}));
+    EXPECT_FALSE(
+        decode_registry(Json{{"n", 1}, {"f", 1}, {"m", {{"host-"}}}}, names, "w/machines"));
+    std::vector<TaskRecord> tasks(2);
+    EXPECT_FALSE(decode_placement_record(Json{{"m", {{"host-1", {9, 1}}}}}, tasks, "w/t/j-79/0"));
+    EXPECT_FALSE(
+        decode_zone(Json{{"s", "asleep"}, {"e", 1}, {"p", 0}, {"d", false}, {"f", 0}}, "a"));
+    for (const char* line :
+         {"j-77: bad f", "j-78: bad n", "n7: missing l", "n8: bad z", "leader: missing incarnation",
+          "w/machines: bad m, row 0", "w/t/j-79/0: bad m", "zone records in the store: a: bad s"}) {
+        EXPECT_NE(log.text().find(line), std::string::npos) << line << "\n" << log.text();
+    }
+}
+
+// Guards against numbers that change their value when they are read.
+TEST(UnreadableEntries, AStoredCountOutOfRangeIsNotTruncated) {
+    constexpr std::uint64_t kTooLarge = (std::uint64_t{1} << 32) + 3;
+    EXPECT_FALSE(decode_finished_job(Json{{"s", "d"}, {"n", kTooLarge}}, "j-1"));
+    EXPECT_FALSE(decode_announcement(Json{{"l", kTooLarge}}, "n1"));
+    EXPECT_EQ(decode_finished_job(Json{{"s", "d"}, {"n", 4294967295U}}, "j-1")->tasks, 4294967295U);
+}
+
+// Guards against a controller that knows no machine type because of one stored one.
+TEST(UnreadableEntries, AStoredMachineTypeThatCannotBeReadCostsOnlyItself) {
+    LeaderHarness harness;
+    Json stored = encode_machine_types(harness.context->machine_types, harness.context->names);
+    constexpr std::size_t kPriceElement = 6;
+    stored[0][kPriceElement] = "cheap";
+    LogCapture log;
+    StoredMachineTypes read = decode_machine_types(stored, harness.context->names);
+    ASSERT_EQ(read.machine_types.size(), 1U);
+    EXPECT_EQ(read.machine_types[0].id, 1U);
+    EXPECT_FALSE(read.complete);
+    EXPECT_NE(log.text().find("small: bad price"), std::string::npos) << log.text();
+}
+
+// Guards against 404 for an accepted job whose record can't be read.
+TEST(UnreadableEntries, AnUnreadableJobIsKnownToExist) {
+    Names names;
+    StoreReplica replica(names);
+    LogCapture log;
+    replica.apply({keys::job("j-1"), Json{{"s", "a"}}, 5});
+    EXPECT_FALSE(replica.job("j-1"));
+    EXPECT_TRUE(replica.has_unreadable_job("j-1"));
+    EXPECT_FALSE(replica.has_unreadable_job("j-2"));
+    replica.apply({keys::job("j-1"), std::nullopt, 6});
+    EXPECT_FALSE(replica.has_unreadable_job("j-1"));
+}
+
 WorkerStatus decode_heartbeat(const Json& body) {
     auto parsed =
         protocol::parse_request(1, protocol::Method::post, "/agent/beat", protocol::pack(body));
