Repeated starts: an attempt is not cleared while a copy of its run may arrive

What could happen: a task ran on two machines. A start that was refused is reported at once, its task is placed elsewhere and the refused attempt is cleared, all within a second or two. A copy of the response with `run`, which a worker accepts for 4 s after its report, then found no such attempt and started it. A task that was stopped, cancelled or done within 4 s could start once more likewise.

Fix: RecentRuns remembers the attempts that were commanded for as long as a copy may arrive (4 s and the drift of the clocks); they are cleared after that. A copy of a response that holds `clear` and `run`, as for a gang's member that waits again, starts the task whatever the worker knows: such an attempt counts as on its machine until then.

The simulated world delivers such copies (RepeatedStart.*): copies of reports, of responses within the 4 s, of direct commands, and leaders that are back within a second, each with moved, cancelled and ended tasks; each run counts by which ways `run` reached the workers, and all must occur. A `run` in a relay or a direct command is a violation.

--- a/src/coordination/workers/command_builder.cpp
+++ b/src/coordination/workers/command_builder.cpp
@@ -15,7 +15,7 @@
     const Machine& machine = cluster.machines[machine_id];
     std::vector<WorkerCommand> commands;
     for (const ReportedTask& reported : status.tasks) {
-        add_cleanup(machine_id, reported, commands);
+        add_cleanup(now, machine_id, reported, commands);
     }
     bool machine_may_start = machine_may_start_tasks(machine, status);
     for (TaskRef ref : machine.tasks) {
@@ -25,7 +25,7 @@
                                 task.attempt, task.stop_grace_s});
             task.stop_sent_at = now;
         } else if (machine_may_start && task_may_start(ref, task)) {
-            add_run(now, ref, status, commands);
+            add_run(now, machine_id, ref, status, commands);
         }
         if (commands.size() >= kMaxCommandsPerResponse) {
             break;
@@ -34,7 +34,7 @@
     return commands;
 }
 
-void CommandBuilder::add_cleanup(Id machine_id, const ReportedTask& reported,
+void CommandBuilder::add_cleanup(Ms now, Id machine_id, const ReportedTask& reported,
                                  std::vector<WorkerCommand>& commands) const {
     if (auto ref = find_reported_task(context_.cluster, reported)) {
         const Task& task = context_.cluster.task(*ref);
@@ -44,8 +44,11 @@
         }
     }
     // The job of the task has ended or was cancelled, or the reported attempt is an older one.
-    WorkerCommandType type =
-        reported.state == TaskState::exited ? WorkerCommandType::clear : WorkerCommandType::stop;
+    bool exited = reported.state == TaskState::exited;
+    if (exited && recent_runs_.copy_may_arrive(now, machine_id, reported)) {
+        return;
+    }
+    WorkerCommandType type = exited ? WorkerCommandType::clear : WorkerCommandType::stop;
     commands.push_back({type, reported.job, reported.task, reported.attempt, 0});
 }
 
@@ -63,7 +66,7 @@
            task.placement_durable();
 }
 
-void CommandBuilder::add_run(Ms now, TaskRef ref, const WorkerStatus& status,
+void CommandBuilder::add_run(Ms now, Id machine_id, TaskRef ref, const WorkerStatus& status,
                              std::vector<WorkerCommand>& commands) {
     Task& task = context_.cluster.task(ref);
     const std::string& job_name = context_.cluster.jobs[ref.job].spec.id;
@@ -71,8 +74,9 @@
     if (task.rerun_in_place) {
         commands.push_back({WorkerCommandType::clear, job_name, ref.task, task.attempt, 0});
     }
-    task.rerun_in_place = false;
     commands.push_back({WorkerCommandType::run, job_name, ref.task, task.attempt, 0});
+    recent_runs_.record(now, machine_id, commands.back(), task.rerun_in_place);
+    task.rerun_in_place = false;
     task.phase = TaskPhase::dispatched;
     task.dispatch_sequence = status.sequence;
     task.dispatch_incarnation = status.incarnation;
--- a/src/coordination/workers/command_builder.hpp
+++ b/src/coordination/workers/command_builder.hpp
@@ -4,6 +4,7 @@
 #include <vector>
 
 #include "coordination/leader/leader_context.hpp"
+#include "coordination/workers/recent_runs.hpp"
 
 namespace walkford {
 
@@ -11,8 +12,9 @@
 // tasks until both agree.
 class CommandBuilder {
   public:
-    // The context must outlive this object.
-    explicit CommandBuilder(LeaderContext& context) : context_(context) {}
+    // Both must outlive this object.
+    CommandBuilder(LeaderContext& context, RecentRuns& recent_runs)
+        : context_(context), recent_runs_(recent_runs) {}
 
     // Returns the commands for the machine, at most as many as one response may hold; the others
     // follow in later responses. Marks tasks as commanded to run or stop, so the result must be
@@ -21,15 +23,16 @@
 
   private:
     // Adds a command for a reported task that is not placed on the machine: `clear` if it has
-    // exited, else `stop`.
-    void add_cleanup(Id machine_id, const ReportedTask& reported,
+    // exited, once no copy of its `run` can arrive any more, else `stop`.
+    void add_cleanup(Ms now, Id machine_id, const ReportedTask& reported,
                      std::vector<WorkerCommand>& commands) const;
     bool machine_may_start_tasks(const Machine& machine, const WorkerStatus& status) const;
     bool task_may_start(TaskRef ref, const Task& task) const;
-    void add_run(Ms now, TaskRef ref, const WorkerStatus& status,
+    void add_run(Ms now, Id machine_id, TaskRef ref, const WorkerStatus& status,
                  std::vector<WorkerCommand>& commands);
 
     LeaderContext& context_;
+    RecentRuns& recent_runs_;
 };
 
 }  // namespace walkford
--- a/src/coordination/workers/heartbeat_responder.cpp
+++ b/src/coordination/workers/heartbeat_responder.cpp
@@ -19,8 +19,8 @@
 }
 }  // namespace
 
-HeartbeatResponder::HeartbeatResponder(LeaderContext& context)
-    : context_(context), command_builder_(context) {}
+HeartbeatResponder::HeartbeatResponder(LeaderContext& context, RecentRuns& recent_runs)
+    : context_(context), command_builder_(context, recent_runs) {}
 
 HeartbeatResponder::~HeartbeatResponder() {
     for (const auto& [machine_id, deferred] : deferred_) {
--- a/src/coordination/workers/heartbeat_responder.hpp
+++ b/src/coordination/workers/heartbeat_responder.hpp
@@ -12,8 +12,8 @@
 // Every response with 200 renews the worker's lease.
 class HeartbeatResponder {
   public:
-    // The context must outlive this object.
-    explicit HeartbeatResponder(LeaderContext& context);
+    // Both must outlive this object.
+    HeartbeatResponder(LeaderContext& context, RecentRuns& recent_runs);
     // Answers the deferred heartbeats with 503, so that the workers turn to the next leader.
     ~HeartbeatResponder();
     HeartbeatResponder(const HeartbeatResponder&) = delete;
--- a/src/coordination/workers/worker_manager.cpp
+++ b/src/coordination/workers/worker_manager.cpp
@@ -16,8 +16,8 @@
 WorkerManager::WorkerManager(LeaderContext& context, TaskLifecycle& lifecycle)
     : context_(context),
       lifecycle_(lifecycle),
-      status_handler_(context, lifecycle),
-      responder_(context),
+      status_handler_(context, lifecycle, recent_runs_),
+      responder_(context, recent_runs_),
       direct_calls_(context, status_handler_),
       lease_expiry_(context) {}
 
--- a/src/coordination/workers/worker_manager.hpp
+++ b/src/coordination/workers/worker_manager.hpp
@@ -47,6 +47,7 @@
 
     LeaderContext& context_;
     TaskLifecycle& lifecycle_;
+    RecentRuns recent_runs_;
     WorkerStatusHandler status_handler_;
     HeartbeatResponder responder_;
     DirectCalls direct_calls_;
--- a/src/coordination/workers/worker_status_handler.cpp
+++ b/src/coordination/workers/worker_status_handler.cpp
@@ -10,8 +10,12 @@
 
 namespace walkford {
 
-WorkerStatusHandler::WorkerStatusHandler(LeaderContext& context, TaskLifecycle& lifecycle)
-    : context_(context), lifecycle_(lifecycle), task_exits_(context, lifecycle) {}
+WorkerStatusHandler::WorkerStatusHandler(LeaderContext& context, TaskLifecycle& lifecycle,
+                                         const RecentRuns& recent_runs)
+    : context_(context),
+      lifecycle_(lifecycle),
+      recent_runs_(recent_runs),
+      task_exits_(context, lifecycle) {}
 
 StatusResult WorkerStatusHandler::apply(Ms now, Id machine_id, const WorkerStatus& status,
                                         StatusSource source) {
@@ -120,6 +124,9 @@
     if (gang_was_incomplete && task.rerun_in_place) {
         return;  // the earlier exit: the worker has not yet received the commands to run it again
     }
+    if (exited && recent_runs_.clearing_copy_may_arrive(update.now, update.machine_id, reported)) {
+        return;  // it may run again; a later status shows what became of it
+    }
     if (exited) {
         task_exits_.task_exited(update.now, ref, reported);
     } else {
--- a/src/coordination/workers/worker_status_handler.hpp
+++ b/src/coordination/workers/worker_status_handler.hpp
@@ -4,6 +4,7 @@
 #include <set>
 
 #include "coordination/leader/task_lifecycle.hpp"
+#include "coordination/workers/recent_runs.hpp"
 #include "coordination/workers/task_exits.hpp"
 
 namespace walkford {
@@ -26,8 +27,9 @@
 // that the cluster state places on its machine and that it does not report.
 class WorkerStatusHandler {
   public:
-    // Both must outlive this object.
-    WorkerStatusHandler(LeaderContext& context, TaskLifecycle& lifecycle);
+    // All must outlive this object.
+    WorkerStatusHandler(LeaderContext& context, TaskLifecycle& lifecycle,
+                        const RecentRuns& recent_runs);
 
     // Applies a status of the worker on that machine, unless it is stale.
     StatusResult apply(Ms now, Id machine_id, const WorkerStatus& status, StatusSource source);
@@ -59,6 +61,7 @@
 
     LeaderContext& context_;
     TaskLifecycle& lifecycle_;
+    const RecentRuns& recent_runs_;
     TaskExits task_exits_;
 };
 
--- a/tests/leader_harness.hpp
+++ b/tests/leader_harness.hpp
@@ -31,6 +31,9 @@
     std::vector<CloudRequest> cloud_requests;
     std::vector<Transaction> written_transactions;
     std::map<RequestId, HeartbeatResponse> heartbeat_responses;
+    // Where workers accept direct calls, as their heartbeats say; empty: nowhere.
+    std::string worker_address;
+    std::vector<WorkerRequest> direct_calls;  // unanswered ones
     std::uint64_t revision = 100;
 
     explicit LeaderHarness(const std::function<void(LeaderHarness&)>& change = {}) {
@@ -81,6 +84,7 @@
         HeartbeatRequest request;
         request.request = ++sequence;
         request.worker_status.machine = name;
+        request.worker_status.address = worker_address;
         request.worker_status.machine_type = "small";
         request.worker_status.zone = "a";
         request.worker_status.incarnation = incarnation;
@@ -93,6 +97,23 @@
         return response == heartbeat_responses.end() ? std::vector<WorkerCommand>{}
                                                      : response->second.commands;
     }
+    // Answers all direct calls with that status of the worker on the machine.
+    void answer_direct_calls(const std::string& name, std::uint64_t incarnation,
+                             std::uint64_t worker_sequence, std::vector<ReportedTask> tasks = {}) {
+        for (const WorkerRequest& call : std::exchange(direct_calls, {})) {
+            WorkerResponse response;
+            response.call = call.call;
+            response.status = WorkerCallStatus::ok;
+            response.worker_status.emplace();
+            response.worker_status->machine = name;
+            response.worker_status->incarnation = incarnation;
+            response.worker_status->sequence = worker_sequence;
+            response.worker_status->fencing_token = call.fencing_token;
+            response.worker_status->tasks = tasks;
+            context->workers.reply(now, response);
+        }
+        process_outputs();
+    }
     JobSpec make_job_spec(const std::string& id, double cpus, std::uint32_t tasks = 1,
                           bool gang = false) {
         JobSpec job_spec;
@@ -148,6 +169,9 @@
                 if (auto* response = std::get_if<HeartbeatResponse>(&output)) {
                     heartbeat_responses[response->request] = *response;
                 }
+                if (auto* direct_call = std::get_if<WorkerRequest>(&output)) {
+                    direct_calls.push_back(*direct_call);
+                }
                 if (auto* cloud_request = std::get_if<CloudRequest>(&output)) {
                     cloud_requests.push_back(*cloud_request);
                 }
--- a/tests/standin/controllers.cpp
+++ b/tests/standin/controllers.cpp
@@ -120,6 +120,7 @@
 
 void World::send(std::size_t i, const HeartbeatResponse& answer) {
     relayed += answer.code == 200 && !hosts_[i]->controller->leading();
+    record_runs(i, answer);
     answer_pending_request(hosts_[i]->heartbeats, answer);
 }
 
@@ -355,6 +356,7 @@
         for (const WorkerCommand& command : request.commands) {
             execute(worker, command);
         }
+        maybe_copy_command(request);
     }
     reply.worker_status = worker_status(worker);
     return reply;
--- a/tests/standin/entities.hpp
+++ b/tests/standin/entities.hpp
@@ -43,6 +43,9 @@
     Id machine_type = kNone;
     bool spot = false;
     std::uint64_t incarnation = 1, sequence = 0, fencing_token = 0;
+    std::uint64_t session =
+        1;  // counts the incarnations, also those of a process with new counters
+    std::uint64_t process = 1;  // a new one does not receive what was sent to the one before
     Ms lease_from = 0;
     std::size_t controller = 0;
     bool in_flight = false;
@@ -92,6 +95,7 @@
     std::vector<Input> received;
     std::map<RequestId, std::function<void(UserResponse)>> users;
     std::map<RequestId, std::function<void(HeartbeatResponse)>> heartbeats;
+    std::map<RequestId, Ms> heartbeats_received_at;
 };
 
 template <typename R>
--- a/tests/standin/scenarios.cpp
+++ b/tests/standin/scenarios.cpp
@@ -20,6 +20,7 @@
     auto tasks = std::move(worker.tasks);
     worker.tasks.clear();
     ++worker.incarnation;
+    ++worker.session;
     forget_images(worker);
     if (chance(0.5)) {
         worker.fencing_token = 0;
--- a/tests/standin/world.cpp
+++ b/tests/standin/world.cpp
@@ -97,6 +97,9 @@
     if (options_.faults) {
         plan_faults();
     }
+    if (options_.copies.machine_restart_interval > 0) {
+        plan_machine_restarts();
+    }
     if (options_.outage_at >= 0) {
         schedule(options_.outage_at, [this] {
             state_->begin_outage(now_, options_.outage_duration);
