Repeated starts: an exit under an older token does not move a task

What could happen: a task ran on two machines. A worker reports an exit (an error, a refused start) and loses its session before the report arrives; the leader runs the same attempt again in the next session. The next leader receives the old report first, as "a report that is held back until a new leader has acted", takes the exit for the latest and starts the task elsewhere, while it runs.

Cause: only the exits of gang members that had waited in vain were ignored under an older token.

Fix: an exit counts under this leader's token only, but for a completed task, whose result is kept. The worker reports again at most half a second after it learns the token.

Seen to fail before: RepeatedRun.AnExitUnderAnOlderTokenDoesNotMoveATask, "harness.machine_of("j-1") Which is: "host-2"", expected "host-1", where the worker of host-1 reported it as running.

--- a/src/coordination/workers/worker_status_handler.cpp
+++ b/src/coordination/workers/worker_status_handler.cpp
@@ -114,10 +114,10 @@
     }
     bool exited = reported.state == TaskState::exited;
     bool gang_was_incomplete = exited && reported.cause == exit_cause::kGangIncomplete;
-    // An earlier leader may have commanded the worker to run this attempt again since. Only a
-    // status under our token shows that it has not; until then the task counts as placed on the
-    // machine.
-    if (gang_was_incomplete && !update.under_our_token) {
+    // The attempt may have been run again since, by an earlier leader after the gang had not been
+    // complete, or in a later incarnation of the worker. Only a status under our token shows that
+    // it has not; until then the task counts as placed on the machine.
+    if (exited && !update.under_our_token && !is_final_exit(ref, reported)) {
         return;
     }
     task.assigned_by_earlier_leader = false;
@@ -134,6 +134,11 @@
     }
 }
 
+// The result of a completed task is kept: run again, it exits at once. A replica never completes.
+bool WorkerStatusHandler::is_final_exit(TaskRef ref, const ReportedTask& reported) const {
+    return reported.cause == exit_cause::kDone && !context_.cluster.jobs[ref.job].spec.service();
+}
+
 void WorkerStatusHandler::apply_present_task(const StatusUpdate& update, TaskRef ref,
                                              const ReportedTask& reported) {
     Task& task = context_.cluster.task(ref);
--- a/src/coordination/workers/worker_status_handler.hpp
+++ b/src/coordination/workers/worker_status_handler.hpp
@@ -52,6 +52,7 @@
     // Returns the tasks that the status reports with their current attempt.
     std::set<TaskRef> apply_reported_tasks(const StatusUpdate& update);
     void apply_reported_task(const StatusUpdate& update, TaskRef ref, const ReportedTask& reported);
+    bool is_final_exit(TaskRef ref, const ReportedTask& reported) const;
     void apply_present_task(const StatusUpdate& update, TaskRef ref, const ReportedTask& reported);
     void reconcile_unreported_tasks(const StatusUpdate& update, const std::set<TaskRef>& reported);
     static bool run_command_dropped(const StatusUpdate& update, const Task& task);
--- a/tests/repeated_run_test.cpp
+++ b/tests/repeated_run_test.cpp
@@ -114,6 +114,51 @@
     EXPECT_NE(harness.cluster().jobs[harness.cluster().find_job("j-1")].assigned, 2U);
 }
 
+// The next leader receives a copy of a report in which the task has exited. The attempt was started
+// again since, in a later incarnation of the worker.
+TEST(RepeatedRun, AnExitUnderAnOlderTokenDoesNotMoveATask) {
+    for (const char* cause : {"error", "no_room", "stopped", "busy", "unknown"}) {
+        LeaderHarness harness;
+        harness.context->replica.apply(
+            {keys::job("j-1"),
+             encode_job({harness.make_job_spec("j-1", 4), false}, harness.context->names), 8});
+        harness.context->replica.apply(
+            {keys::placement_record("j-1", 0), encode_placement_record({{1, false, "host-1"}}), 9});
+        RegistryRecord registry;
+        registry.machines = {{"host-1", 0, 0, false, false, false},
+                             {"host-2", 0, 0, false, false, false}};
+        harness.context->replica.apply(
+            {keys::kRegistry, encode_registry(registry, harness.context->names), 5});
+        harness.elect(50);
+        harness.heartbeat("host-2");
+        harness.heartbeat("host-1", {reported("j-1", 1, TaskState::exited, cause)}, 40);
+        harness.advance_time(500);
+        EXPECT_EQ(harness.machine_of("j-1"), "host-1") << cause;
+        harness.heartbeat("host-1", {reported("j-1", 1, TaskState::running)}, 50, 2);
+        harness.advance_time(500);
+        EXPECT_EQ(harness.machine_of("j-1"), "host-1") << cause;
+        harness.heartbeat("host-1", {reported("j-1", 1, TaskState::exited, cause)}, 50, 2);
+        EXPECT_EQ(harness.machine_of("j-1"), "") << cause << ": seen under our token";
+    }
+}
+
+// A completed task keeps its result: it need not wait for a report under the new leader's token.
+TEST(RepeatedRun, ACompletionUnderAnOlderTokenCounts) {
+    LeaderHarness harness;
+    harness.context->replica.apply(
+        {keys::job("j-1"),
+         encode_job({harness.make_job_spec("j-1", 4), false}, harness.context->names), 8});
+    harness.context->replica.apply(
+        {keys::placement_record("j-1", 0), encode_placement_record({{1, false, "host-1"}}), 9});
+    RegistryRecord registry;
+    registry.machines = {{"host-1", 0, 0, false, false, false}};
+    harness.context->replica.apply(
+        {keys::kRegistry, encode_registry(registry, harness.context->names), 5});
+    harness.elect(50);
+    harness.heartbeat("host-1", {reported("j-1", 1, TaskState::exited, "done")}, 40);
+    EXPECT_EQ(harness.cluster().jobs[0].done, 1U);
+}
+
 // Direct calls are carried out however late they arrive, as long as token and session match.
 TEST(RepeatedRun, DirectCallsOnlyStop) {
     RunningTask harness;
