Repeated starts: a machine whose counters start anew is recognised by a direct call

What callers saw: jobs never served, and once a task on two machines. A machine that was back within a second, with a worker that counts from 1 again, sent reports that all looked old. They were answered and its lease was renewed, so its tasks counted as running, until the new counters passed the old ones, which takes as long as the machine had been up. From then on a copy of a report from before could not be told from a new one, and a report that says that an attempt has exited could be taken for one on a second run of it. A higher incarnation from before the restart made all further reports old.

Fix: a report that looks old, or shows a lower token than the worker has shown to this leader, puts the counters in doubt; the second kind is no longer applied at all. A direct call without commands settles it: its response was made after the call, so counters that are not above those known when the call was sent have started anew. While in doubt the machine gets no `run` and no new work; if no call settles it for a lease, its reports are refused, so that the lease expires. After a restart, tasks that the worker does not know are placed under a new attempt, and from then on only direct calls show that a task is missing, once no response with its `run` can be on its way. A machine without an address can't be called; there nothing changes.

--- a/src/bookkeeping/machine.hpp
+++ b/src/bookkeeping/machine.hpp
@@ -36,6 +36,12 @@
     Ms reclaim_at = -1;  // spot: when the cloud reclaims the machine, by the leader's clock
     Ms probe_at = 0;     // when the worker's status is next requested directly
     bool probe_in_flight = false;  // whether such a request is unanswered
+    // An older status than the newest one has arrived. It is a late copy, or the worker has a new
+    // process whose counters started anew; a direct call tells. Since when; -1: neither.
+    Ms counters_suspect_since = -1;
+    // The counters have started anew during this term. Copies of heartbeats of the earlier process
+    // can't be told from new ones, so only a direct call shows that a task is missing.
+    bool counters_restarted = false;
 };
 
 // Tracks whether the worker receives the leader's answers, which its later heartbeats show. In a
--- a/src/coordination/workers/command_builder.cpp
+++ b/src/coordination/workers/command_builder.cpp
@@ -57,6 +57,7 @@
 bool CommandBuilder::machine_may_start_tasks(const Machine& machine,
                                              const WorkerStatus& status) const {
     return context_.holds_lease && machine.registration_durable && !machine.releasing &&
+           machine.worker.counters_suspect_since < 0 &&
            status.fencing_token == context_.fencing_token && receives_responses(machine);
 }
 
--- a/src/coordination/workers/direct_calls.cpp
+++ b/src/coordination/workers/direct_calls.cpp
@@ -1,6 +1,7 @@
 #include "coordination/workers/direct_calls.hpp"
 
 #include <algorithm>
+#include <tuple>
 
 namespace walkford {
 
@@ -29,6 +30,13 @@
     }
 }
 
+void DirectCalls::check_counters(Ms now, Id machine_id) {
+    const WorkerState& worker = context_.cluster.machines[machine_id].worker;
+    if (worker.counters_suspect_since >= 0 && !worker.probe_in_flight && now >= worker.probe_at) {
+        send(now, machine_id, {});
+    }
+}
+
 void DirectCalls::send_stops(Ms now, Id machine_id) {
     ClusterState& cluster = context_.cluster;
     const Machine& machine = cluster.machines[machine_id];
@@ -65,15 +73,14 @@
     request.fencing_token = context_.fencing_token;
     request.incarnation = machine.worker.incarnation;
     request.commands = std::move(commands);
-    request.call = context_.controller.workers.open(
-        context_.while_leading([this, machine_id](Ms at, const WorkerResponse& response) {
-            on_response(at, machine_id, response);
-        }));
+    SentCall call{machine_id, now, machine.worker.incarnation, machine.worker.sequence};
+    request.call = context_.controller.workers.open(context_.while_leading(
+        [this, call](Ms at, const WorkerResponse& response) { on_response(at, call, response); }));
     context_.controller.out.emplace_back(std::move(request));
 }
 
-void DirectCalls::on_response(Ms now, Id machine_id, const WorkerResponse& response) {
-    Machine& machine = context_.cluster.machines[machine_id];
+void DirectCalls::on_response(Ms now, const SentCall& call, const WorkerResponse& response) {
+    Machine& machine = context_.cluster.machines[call.machine];
     machine.worker.probe_in_flight = false;
     if (machine.terminated || !response.worker_status ||
         response.worker_status->machine != machine.name) {
@@ -88,7 +95,16 @@
         status.incarnation != machine.worker.incarnation) {
         machine.worker.probe_at = now;  // retry at once with the incarnation that it reports
     }
-    status_handler_.apply(now, machine_id, status, StatusSource::direct_call);
+    // The status is newer than the call. If its counters are not above those known at that time,
+    // they have started anew.
+    bool restarted = machine.worker.reported && std::tie(status.incarnation, status.sequence) <=
+                                                    std::tie(call.incarnation, call.sequence);
+    if (restarted) {
+        status_handler_.apply_restarted(now, call.machine, status, call.sent_at);
+        return;
+    }
+    machine.worker.counters_suspect_since = -1;
+    status_handler_.apply(now, call.machine, status, StatusSource::direct_call, call.sent_at);
 }
 
 }  // namespace walkford
--- a/src/coordination/workers/direct_calls.hpp
+++ b/src/coordination/workers/direct_calls.hpp
@@ -18,12 +18,22 @@
     // Sends a call without commands to a worker that may still accept commands of an older leader.
     void probe_unseen_worker(Ms now, Id machine_id);
 
+    // Sends a call without commands to a worker whose counters may have started anew.
+    void check_counters(Ms now, Id machine_id);
+
     // Sends the stop commands that were not sent within the resend interval.
     void send_stops(Ms now, Id machine_id);
 
   private:
     void send(Ms now, Id machine_id, std::vector<WorkerCommand> commands);
-    void on_response(Ms now, Id machine_id, const WorkerResponse& response);
+    // What was known of a worker when a call was sent.
+    struct SentCall {
+        Id machine = kNone;
+        Ms sent_at = 0;
+        std::uint64_t incarnation = 0;
+        std::uint64_t sequence = 0;
+    };
+    void on_response(Ms now, const SentCall& call, const WorkerResponse& response);
 
     LeaderContext& context_;
     WorkerStatusHandler& status_handler_;
--- a/src/coordination/workers/worker_manager.cpp
+++ b/src/coordination/workers/worker_manager.cpp
@@ -32,6 +32,7 @@
            !machine.health.quarantined && !machine.worker.lease_expired &&
            reported_recently(machine, now) && machine.worker.reclaim_at < 0 &&
            machine.health.backoff_until <= now && receives_responses(machine) &&
+           machine.worker.counters_suspect_since < 0 &&
            (machine.worker.fencing_token_seen || machine.requested_by_this_leader);
 }
 
@@ -50,15 +51,33 @@
     }
     if (status_handler_.apply(now, machine_id, status, StatusSource::heartbeat) ==
         StatusResult::stale) {
-        // A delayed duplicate is answered too. The worker may receive this response and count its
-        // lease from it, so the renewal is recorded.
-        responder_.renew_lease(now, machine, heartbeat.request);
+        answer_stale_heartbeat(now, machine, heartbeat.request);
         return;
     }
     machine.worker.last_heartbeat = now;
     responder_.respond_or_defer(now, machine_id, heartbeat);
 }
 
+// A delayed duplicate is answered too. The worker may receive this response and count its lease
+// from it, so the renewal is recorded. If no direct call settles for longer than a lease whether it
+// is a duplicate, the lease must be allowed to expire: the worker may have lost its tasks.
+void WorkerManager::answer_stale_heartbeat(Ms now, Machine& machine, RequestId request) {
+    Ms& suspect_since = machine.worker.counters_suspect_since;
+    if (machine.address.empty()) {  // no call can tell
+        responder_.renew_lease(now, machine, request);
+        return;
+    }
+    if (suspect_since < 0) {
+        suspect_since = now;
+    }
+    direct_calls_.check_counters(now, context_.cluster.find_machine(machine.name));
+    if (now > suspect_since + to_ms(context_.controller.platform_settings.lease_s)) {
+        responder_.refuse(request);
+    } else {
+        responder_.renew_lease(now, machine, request);
+    }
+}
+
 Id WorkerManager::find_or_add_machine(Ms now, const WorkerStatus& status) {
     ClusterState& cluster = context_.cluster;
     Id machine_id = cluster.find_machine(status.machine);
@@ -87,6 +106,7 @@
         }
         expire_lease(now, machine_id);
         direct_calls_.probe_unseen_worker(now, machine_id);
+        direct_calls_.check_counters(now, machine_id);
         stop_before_reclaim(now, machine);
         direct_calls_.send_stops(now, machine_id);
     }
--- a/src/coordination/workers/worker_status_handler.cpp
+++ b/src/coordination/workers/worker_status_handler.cpp
@@ -7,6 +7,7 @@
 
 #include "coordination/workers/reported_task.hpp"
 #include "coordination/workers/response_acknowledgement.hpp"
+#include "coordination/workers/response_validity.hpp"
 
 namespace walkford {
 
@@ -18,9 +19,9 @@
       task_exits_(context, lifecycle) {}
 
 StatusResult WorkerStatusHandler::apply(Ms now, Id machine_id, const WorkerStatus& status,
-                                        StatusSource source) {
+                                        StatusSource source, Ms taken_after) {
     Machine& machine = context_.cluster.machines[machine_id];
-    if (is_stale(machine, status)) {
+    if (is_stale(machine, status, source)) {
         return StatusResult::stale;
     }
     StatusUpdate update{
@@ -31,6 +32,7 @@
         .new_incarnation =
             machine.worker.reported && status.incarnation > machine.worker.incarnation,
         .under_our_token = status.fencing_token == context_.fencing_token,
+        .taken_after = taken_after,
     };
     if (source == StatusSource::heartbeat) {
         check_acknowledgement(context_, now, machine, status);
@@ -46,12 +48,35 @@
     return StatusResult::applied;
 }
 
-bool WorkerStatusHandler::is_stale(const Machine& machine, const WorkerStatus& status) {
+void WorkerStatusHandler::apply_restarted(Ms now, Id machine_id, const WorkerStatus& status,
+                                          Ms taken_after) {
+    Machine& machine = context_.cluster.machines[machine_id];
+    WorkerState& worker = machine.worker;
+    spdlog::info("machine {} was restarted: its counters started anew at incarnation {}",
+                 machine.name, status.incarnation);
+    worker.counters_restarted = true;
+    worker.counters_suspect_since = -1;
+    worker.incarnation = status.incarnation;
+    worker.sequence = status.sequence > 0 ? status.sequence - 1 : 0;
+    worker.min_incarnation = 0;
+    worker.fencing_token_seen = false;
+    worker.reclaim_at = -1;
+    machine.acknowledgement = {};
+    machine.images.clear();
+    apply(now, machine_id, status, StatusSource::direct_call, taken_after);
+}
+
+bool WorkerStatusHandler::is_stale(const Machine& machine, const WorkerStatus& status,
+                                   StatusSource source) const {
     const WorkerState& worker = machine.worker;
     bool seen_before = worker.reported && std::tie(status.incarnation, status.sequence) <=
                                               std::tie(worker.incarnation, worker.sequence);
+    // A worker that has shown our token never shows a lower one again. A heartbeat that does is a
+    // late copy, or comes from a new process of the worker, which a direct call will tell.
+    bool from_before_our_token = source == StatusSource::heartbeat && worker.fencing_token_seen &&
+                                 status.fencing_token < context_.fencing_token;
     // An incarnation from before the lease expired has killed all tasks that it reports.
-    return seen_before || status.incarnation < worker.min_incarnation;
+    return seen_before || from_before_our_token || status.incarnation < worker.min_incarnation;
 }
 
 void WorkerStatusHandler::update_worker_state(const StatusUpdate& update, Machine& machine) {
@@ -173,6 +198,10 @@
         if (task.machine != update.machine_id) {
             continue;
         }
+        if (machine.worker.counters_restarted) {
+            reconcile_after_restart(update, ref);
+            continue;
+        }
         switch (task.phase) {
             case TaskPhase::acknowledged:
                 lifecycle_.task_lost(ref, update.now, "no longer reported by its worker");
@@ -216,6 +245,27 @@
     }
 }
 
+// The heartbeat may be a copy from before the restart, so only a direct call shows that a task is
+// missing. Even then a response with its `run` may be on its way. The attempt is never run again,
+// since a status from before the restart may say that it has exited.
+void WorkerStatusHandler::reconcile_after_restart(const StatusUpdate& update, TaskRef ref) {
+    const Task& task = context_.cluster.task(ref);
+    if (task.phase == TaskPhase::assigned && !task.assigned_by_earlier_leader) {
+        return;  // it was never commanded to run
+    }
+    bool gone = update.source == StatusSource::direct_call &&
+                (task.phase != TaskPhase::dispatched ||
+                 update.taken_after > task.since + kResponseValidFor);
+    if (gone) {
+        lifecycle_.task_lost(ref, update.now, "not known after its worker was restarted");
+        return;
+    }
+    WorkerState& worker = context_.cluster.machines[update.machine_id].worker;
+    if (worker.counters_suspect_since < 0) {
+        worker.counters_suspect_since = update.now;
+    }
+}
+
 // Handles a task that an earlier leader placed and that a heartbeat under our token does not
 // report: it was never started, or ended with an older incarnation of the worker.
 void WorkerStatusHandler::reconcile_assigned_task(const StatusUpdate& update, TaskRef ref) {
--- a/src/coordination/workers/worker_status_handler.hpp
+++ b/src/coordination/workers/worker_status_handler.hpp
@@ -31,8 +31,14 @@
     WorkerStatusHandler(LeaderContext& context, TaskLifecycle& lifecycle,
                         const RecentRuns& recent_runs);
 
-    // Applies a status of the worker on that machine, unless it is stale.
-    StatusResult apply(Ms now, Id machine_id, const WorkerStatus& status, StatusSource source);
+    // Applies a status of the worker on that machine, unless it is stale. `taken_after`: a time
+    // before the worker made the status; known for direct calls.
+    StatusResult apply(Ms now, Id machine_id, const WorkerStatus& status, StatusSource source,
+                       Ms taken_after = -1);
+
+    // Applies a status that shows that the counters of the worker have started anew: it has a new
+    // process, which knows none of the tasks of the one before.
+    void apply_restarted(Ms now, Id machine_id, const WorkerStatus& status, Ms taken_after);
 
   private:
     // The status that is being applied, and what is derived from it.
@@ -44,9 +50,10 @@
         bool new_incarnation;  // the first status of a worker that was restarted
         // The worker has seen our fencing token: it accepts commands of no older leader.
         bool under_our_token;
+        Ms taken_after;  // the worker made the status later than this; -1: unknown
     };
 
-    static bool is_stale(const Machine& machine, const WorkerStatus& status);
+    bool is_stale(const Machine& machine, const WorkerStatus& status, StatusSource source) const;
     void update_worker_state(const StatusUpdate& update, Machine& machine);
     static void update_reclaim_notice(const StatusUpdate& update, Machine& machine);
     // Returns the tasks that the status reports with their current attempt.
@@ -58,6 +65,7 @@
     static bool run_command_dropped(const StatusUpdate& update, const Task& task);
     void reconcile_dispatched_task(const StatusUpdate& update, TaskRef ref,
                                    bool& missed_response_recorded);
+    void reconcile_after_restart(const StatusUpdate& update, TaskRef ref);
     void reconcile_assigned_task(const StatusUpdate& update, TaskRef ref);
 
     LeaderContext& context_;
--- a/tests/repeated_run_test.cpp
+++ b/tests/repeated_run_test.cpp
@@ -159,6 +159,87 @@
     EXPECT_EQ(harness.cluster().jobs[0].done, 1U);
 }
 
+// A worker that has shown our token never shows a lower one: the heartbeat is a copy from before.
+TEST(RepeatedRun, AReportUnderATokenBelowOneThatWasShownIsACopy) {
+    RunningTask harness;
+    harness.heartbeat_at(200, {}, 40);
+    harness.heartbeat_at(201, {reported("j-1", 1, TaskState::exited, "error")}, 40);
+    EXPECT_EQ(harness.machine_of("j-1"), harness.machine);
+    EXPECT_EQ(harness.worker().sequence, 100U);
+}
+
+// The machine is back within a second, and its worker counts from 1 again. A direct call shows it.
+TEST(RepeatedRun, ADirectCallShowsThatTheCountersOfAWorkerStartedAnew) {
+    RunningTask harness;
+    harness.direct_calls.clear();
+    EXPECT_TRUE(harness.heartbeat_at(1, {}, 0).empty());
+    EXPECT_EQ(harness.machine_of("j-1"), harness.machine) << "it may be a copy of the first report";
+    ASSERT_EQ(harness.direct_calls.size(), 1U);
+    EXPECT_TRUE(harness.direct_calls[0].commands.empty());
+    harness.answer_direct_calls(harness.machine, 1, 2);
+    EXPECT_EQ(harness.machine_of("j-1"), "") << "the new process knows no task";
+    EXPECT_TRUE(harness.worker().counters_restarted);
+    // The machine is used again, and the task never under the same attempt.
+    harness.advance_time(600);
+    harness.heartbeat_at(3, {});
+    harness.advance_time(600);
+    EXPECT_EQ(harness.leader->context().cluster.task({0, 0}).attempt, 2U);
+}
+
+TEST(RepeatedRun, ADirectCallShowsThatAnOldReportWasACopy) {
+    RunningTask harness;
+    harness.direct_calls.clear();
+    harness.heartbeat_at(7, {});
+    ASSERT_EQ(harness.direct_calls.size(), 1U);
+    harness.answer_direct_calls(harness.machine, 1, 101, {reported("j-1", 1, TaskState::running)});
+    EXPECT_EQ(harness.machine_of("j-1"), harness.machine);
+    EXPECT_FALSE(harness.worker().counters_restarted);
+    EXPECT_LT(harness.worker().counters_suspect_since, 0);
+}
+
+// Until the call is answered, the counters of the new process could pass those that are known.
+TEST(RepeatedRun, NoRunIsSentWhileTheCountersOfAWorkerAreInDoubt) {
+    RunningTask harness;
+    harness.heartbeat_at(7, {});
+    harness.heartbeat_at(102, {reported("j-1", 1, TaskState::exited, "done")});
+    harness.submit_job(harness.make_job_spec("j-2", 8));
+    harness.submit_job(harness.make_job_spec("j-3", 8));
+    harness.advance_time(600);
+    for (std::uint64_t at = 103; at < 110; ++at) {
+        EXPECT_EQ(count_commands(harness.heartbeat_at(at, {}), WorkerCommandType::run), 0U);
+        harness.advance_time(300);
+    }
+    harness.answer_direct_calls(harness.machine, 1, 111);
+    harness.heartbeat("host-2");
+    harness.advance_time(600);
+    EXPECT_EQ(count_commands(harness.heartbeat_at(112, {}), WorkerCommandType::run), 1U);
+}
+
+// After such a restart, a copy from the earlier process looks like a new report.
+TEST(RepeatedRun, ACopyFromBeforeARestartMovesNoTask) {
+    RunningTask harness;
+    harness.heartbeat_at(1, {}, 0);
+    harness.answer_direct_calls(harness.machine, 1, 2);
+    std::uint64_t at = 2;
+    for (int step = 0; step < 20 && harness.machine_of("j-1") != harness.machine; ++step) {
+        harness.heartbeat_at(++at, {});
+        harness.advance_time(400);
+    }
+    if (harness.machine_of("j-1") != harness.machine) {
+        GTEST_SKIP() << "placed on the other machine";
+    }
+    harness.heartbeat_at(++at, {});
+    harness.heartbeat_at(++at, {reported("j-1", 2, TaskState::running)});
+    // The copies lack attempt 2, or say that attempt 1 has exited.
+    harness.heartbeat_at(300, {});
+    harness.heartbeat_at(301, {reported("j-1", 1, TaskState::exited, "error")});
+    harness.advance_time(3000);
+    EXPECT_EQ(harness.machine_of("j-1"), harness.machine);
+    harness.answer_direct_calls(harness.machine, 1, ++at, {reported("j-1", 2, TaskState::running)});
+    EXPECT_EQ(harness.machine_of("j-1"), harness.machine);
+    EXPECT_EQ(harness.worker().sequence, at) << "the counters are those of the new process again";
+}
+
 // Direct calls are carried out however late they arrive, as long as token and session match.
 TEST(RepeatedRun, DirectCallsOnlyStop) {
     RunningTask harness;
--- a/tests/repeated_start_test.cpp
+++ b/tests/repeated_start_test.cpp
@@ -45,6 +45,11 @@
     copied_responses.responses = 0.5;
     MessageCopies copied_commands = refusals;
     copied_commands.commands = 0.7;
+    MessageCopies restarts = late_reports;
+    restarts.machine_restart_interval = 6000;
+    MessageCopies everything = restarts;
+    everything.responses = 0.5;
+    everything.commands = 0.7;
     const std::vector<Fault> leaders{Fault::controller_restarts, Fault::quick_restarts};
     return {
         {"late_copy_of_the_report",
@@ -59,6 +64,17 @@
          late_reports,
          &World::elections,
          2 * kRuns},
+        {"machine_back_within_a_second",
+         {Fault::machine_reboots, Fault::controller_restarts, Fault::reports_for_next_leader},
+         restarts,
+         &World::machines_restarted,
+         100},
+        {"everything",
+         {Fault::machine_reboots, Fault::quick_restarts, Fault::reports_for_next_leader,
+          Fault::late_commands},
+         everything,
+         &World::machines_restarted,
+         100},
     };
 }
 
