Tidy up: one reader of text files, names of direct calls, look-up of a task's phase

"Read a whole file as text" stood in two readers of settings; the simulated worker looked up the same phase of a task in three scheduled events; WorkerState::probe_at and probe_in_flight cover every direct call and are called so. The list of tests shows the names of the situations.

--- a/src/bookkeeping/machine.hpp
+++ b/src/bookkeeping/machine.hpp
@@ -33,9 +33,9 @@
     Ms lease_renewed_at = -1;    // last heartbeat answered with 200; the lease may count from then
     bool lease_expired = false;  // has certainly expired, with no heartbeat since
     std::uint64_t min_incarnation = 0;  // earlier incarnations ended when the lease expired
-    Ms reclaim_at = -1;  // spot: when the cloud reclaims the machine, by the leader's clock
-    Ms probe_at = 0;     // when the worker's status is next requested directly
-    bool probe_in_flight = false;  // whether such a request is unanswered
+    Ms reclaim_at = -1;          // spot: when the cloud reclaims the machine, by the leader's clock
+    Ms next_direct_call_at = 0;  // when the worker's status is next requested directly
+    bool direct_call_in_flight = false;  // whether such a request is unanswered
     // An older status than the newest one has arrived. It is a late copy, or the worker has a new
     // process whose counters started anew; a direct call tells. Since when; -1: neither.
     Ms counters_suspect_since = -1;
--- a/src/coordination/workers/direct_calls.cpp
+++ b/src/coordination/workers/direct_calls.cpp
@@ -25,14 +25,15 @@
     bool unseen = !worker.fencing_token_seen &&
                   now > std::max(context_.elected_at, worker.last_heartbeat) + probe_after &&
                   (!machine.tasks.empty() || machine.listing.state == CloudMachineState::running);
-    if (unseen && !worker.probe_in_flight && now >= worker.probe_at) {
+    if (unseen && !worker.direct_call_in_flight && now >= worker.next_direct_call_at) {
         send(now, machine_id, {});
     }
 }
 
 void DirectCalls::check_counters(Ms now, Id machine_id) {
     const WorkerState& worker = context_.cluster.machines[machine_id].worker;
-    if (worker.counters_suspect_since >= 0 && !worker.probe_in_flight && now >= worker.probe_at) {
+    if (worker.counters_suspect_since >= 0 && !worker.direct_call_in_flight &&
+        now >= worker.next_direct_call_at) {
         send(now, machine_id, {});
     }
 }
@@ -50,8 +51,8 @@
                              task.attempt, task.stop_grace_s});
         }
     }
-    Ms earliest_call = machine.worker.probe_at - kProbeInterval + kMinCallInterval;
-    if (stops.empty() || !machine.worker.reported || machine.worker.probe_in_flight ||
+    Ms earliest_call = machine.worker.next_direct_call_at - kProbeInterval + kMinCallInterval;
+    if (stops.empty() || !machine.worker.reported || machine.worker.direct_call_in_flight ||
         now < earliest_call) {
         return;
     }
@@ -63,11 +64,11 @@
 
 void DirectCalls::send(Ms now, Id machine_id, std::vector<WorkerCommand> commands) {
     Machine& machine = context_.cluster.machines[machine_id];
-    if (machine.address.empty() || machine.worker.probe_in_flight) {
+    if (machine.address.empty() || machine.worker.direct_call_in_flight) {
         return;
     }
-    machine.worker.probe_in_flight = true;
-    machine.worker.probe_at = now + kProbeInterval;
+    machine.worker.direct_call_in_flight = true;
+    machine.worker.next_direct_call_at = now + kProbeInterval;
     WorkerRequest request;
     request.address = machine.address;
     request.fencing_token = context_.fencing_token;
@@ -81,7 +82,7 @@
 
 void DirectCalls::on_response(Ms now, const SentCall& call, const WorkerResponse& response) {
     Machine& machine = context_.cluster.machines[call.machine];
-    machine.worker.probe_in_flight = false;
+    machine.worker.direct_call_in_flight = false;
     if (machine.terminated || !response.worker_status ||
         response.worker_status->machine != machine.name) {
         return;
@@ -93,7 +94,8 @@
     }
     if (response.status == WorkerCallStatus::conflict &&
         status.incarnation != machine.worker.incarnation) {
-        machine.worker.probe_at = now;  // retry at once with the incarnation that it reports
+        machine.worker.next_direct_call_at =
+            now;  // retry at once with the incarnation that it reports
     }
     // The status is newer than the call. If its counters are not above those known at that time,
     // they have started anew.
--- a/src/protocol/properties_file.cpp
+++ b/src/protocol/properties_file.cpp
@@ -5,11 +5,11 @@
 #include <Poco/Util/PropertyFileConfiguration.h>
 
 #include <algorithm>
-#include <fstream>
 #include <map>
 #include <sstream>
 #include <variant>
 
+#include "protocol/text_file.hpp"
 #include "protocol/utf8.hpp"
 
 namespace walkford::protocol {
@@ -207,17 +207,15 @@
 }
 
 Poco::AutoPtr<PropertyFileConfiguration> open_file(const std::string& path) {
-    std::ifstream file(path, std::ios::binary);
-    std::ostringstream text;
-    text << file.rdbuf();
-    if (!file || file.bad()) {
+    auto text = read_text_file(path);
+    if (!text) {
         throw SettingsError("properties: cannot read file " + path);
     }
-    if (!is_valid_utf8(text.str())) {
+    if (!is_valid_utf8(*text)) {
         throw SettingsError("properties " + path + ": not UTF-8 text");
     }
     try {
-        std::istringstream properties(text.str());
+        std::istringstream properties(*text);
         return new PropertyFileConfiguration(properties);
     } catch (const Poco::Exception& error) {
         throw SettingsError("properties " + path + ": " + error.displayText());
--- a/src/protocol/settings_file.cpp
+++ b/src/protocol/settings_file.cpp
@@ -3,13 +3,13 @@
 #include <algorithm>
 #include <array>
 #include <cmath>
-#include <fstream>
 #include <limits>
 #include <sstream>
 #include <string_view>
 
 #include "bookkeeping/records.hpp"
 #include "protocol/json_fields.hpp"
+#include "protocol/text_file.hpp"
 
 namespace walkford::protocol {
 
@@ -285,13 +285,11 @@
 }
 
 PlatformSettings load_platform_settings(const std::string& path, std::vector<std::string>& notes) {
-    std::ifstream file(path, std::ios::binary);
-    std::ostringstream text;
-    text << file.rdbuf();
-    if (!file || file.bad()) {
+    auto text = read_text_file(path);
+    if (!text) {
         throw SettingsError("settings: cannot read file " + path);
     }
-    return read_platform_settings(text.str(), notes);
+    return read_platform_settings(*text, notes);
 }
 
 }  // namespace walkford::protocol
--- a/tests/leader_harness.hpp
+++ b/tests/leader_harness.hpp
@@ -99,7 +99,8 @@
     }
     // Answers all direct calls with that status of the worker on the machine.
     void answer_direct_calls(const std::string& name, std::uint64_t incarnation,
-                             std::uint64_t worker_sequence, std::vector<ReportedTask> tasks = {}) {
+                             std::uint64_t worker_sequence,
+                             const std::vector<ReportedTask>& tasks = {}) {
         for (const WorkerRequest& call : std::exchange(direct_calls, {})) {
             WorkerResponse response;
             response.call = call.call;
--- a/tests/repeated_run_test.cpp
+++ b/tests/repeated_run_test.cpp
@@ -215,6 +215,24 @@
     EXPECT_EQ(count_commands(harness.heartbeat_at(112, {}), WorkerCommandType::run), 1U);
 }
 
+TEST(RepeatedRun, ATaskPlacedBeforeTheDoubtWaitsForItsEnd) {
+    LeaderHarness harness;
+    harness.worker_address = "10.0.0.1:9000";
+    harness.elect_with_machines({{"host-1", 0}});
+    harness.sequence = 100;
+    harness.heartbeat("host-1");
+    harness.submit_job(harness.make_job_spec("j-1", 4));
+    harness.advance_time(600);
+    ASSERT_EQ(harness.machine_of("j-1"), "host-1");
+    harness.sequence = 6;
+    harness.heartbeat("host-1");
+    harness.sequence = 101;
+    EXPECT_EQ(count_commands(harness.heartbeat("host-1"), WorkerCommandType::run), 0U);
+    harness.answer_direct_calls("host-1", 1, 103);
+    harness.sequence = 103;
+    EXPECT_EQ(count_commands(harness.heartbeat("host-1"), WorkerCommandType::run), 1U);
+}
+
 // After such a restart, a copy from the earlier process looks like a new report.
 TEST(RepeatedRun, ACopyFromBeforeARestartMovesNoTask) {
     RunningTask harness;
@@ -240,6 +258,55 @@
     EXPECT_EQ(harness.worker().sequence, at) << "the counters are those of the new process again";
 }
 
+// After a restart, a direct call that lacks a task shows that it is gone only once the response
+// with its `run` can no longer arrive.
+TEST(RepeatedRun, ARunOnItsWayAfterARestartIsNotTakenForLost) {
+    LeaderHarness harness;
+    harness.worker_address = "10.0.0.1:9000";
+    harness.elect_with_machines({{"host-1", 0}});
+    harness.sequence = 100;
+    harness.heartbeat("host-1");
+    auto heartbeat_at = [&](std::uint64_t at) {
+        harness.sequence = at - 1;
+        return harness.heartbeat("host-1");
+    };
+    heartbeat_at(1);
+    harness.answer_direct_calls("host-1", 1, 2);
+    heartbeat_at(3);
+    harness.submit_job(harness.make_job_spec("j-1", 4));
+    harness.advance_time(3000);
+    ASSERT_EQ(count_commands(heartbeat_at(4), WorkerCommandType::run), 1U);
+    heartbeat_at(5);
+    harness.advance_time(300);
+    ASSERT_FALSE(harness.direct_calls.empty());
+    harness.answer_direct_calls("host-1", 1, 6);
+    EXPECT_EQ(harness.leader->context().cluster.task({0, 0}).attempt, 1U);
+    EXPECT_EQ(harness.machine_of("j-1"), "host-1");
+    // The first of these calls may have been sent within that time, the last one was not.
+    for (std::uint64_t at = 7; at < 10; ++at) {
+        harness.advance_time(kResponseValidFor);
+        harness.answer_direct_calls("host-1", 1, at);
+    }
+    EXPECT_EQ(harness.machine_of("j-1"), "");
+}
+
+TEST(RepeatedRun, ACancelledTaskIsNotCommandedToRun) {
+    LeaderHarness harness;
+    harness.elect_with_machines({{"host-1", 0}});
+    JobSpec spec = harness.make_job_spec("j-1", 4);
+    harness.submit_job(spec);
+    harness.advance_time(600);
+    ASSERT_EQ(harness.machine_of("j-1"), "host-1");
+    harness.context->replica.apply({keys::job("j-1"),
+                                    encode_job({spec, true}, harness.context->names),
+                                    harness.next_created_version++});
+    harness.leader->job_changed(harness.now, "j-1");
+    for (int step = 0; step < 5; ++step) {
+        EXPECT_EQ(count_commands(harness.heartbeat("host-1"), WorkerCommandType::run), 0U);
+        harness.advance_time(500);
+    }
+}
+
 // Direct calls are carried out however late they arrive, as long as token and session match.
 TEST(RepeatedRun, DirectCallsOnlyStop) {
     RunningTask harness;
--- a/tests/repeated_start_test.cpp
+++ b/tests/repeated_start_test.cpp
@@ -27,7 +27,9 @@
 };
 
 // Names the situation in the list of tests.
-void PrintTo(const Situation& situation, std::ostream* out) { *out << situation.name; }
+std::ostream& operator<<(std::ostream& out, const Situation& situation) {
+    return out << situation.name;
+}
 
 // Tasks move, are cancelled and end in all runs.
 std::vector<Fault> with_moves(std::vector<Fault> faults) {
--- a/tests/standin/machines.cpp
+++ b/tests/standin/machines.cpp
@@ -290,19 +290,23 @@
     std::uint64_t version = ++running_task.version;
     hasten_heartbeat(worker);
     schedule(now_ + to_ms(job_record.spec.checkpoint_duration_s),
-             [this, name = worker.name, key, version, session = worker.session] {
-                 auto found = workers_.find(name);
-                 if (found == workers_.end() || found->second->session != session) {
-                     return;
-                 }
-                 auto entry = found->second->tasks.find(key);
-                 if (entry == found->second->tasks.end() || entry->second.version != version) {
-                     return;
+             [this, phase = TaskPhase{worker.name, worker.session, key, version}] {
+                 if (Running* task = find_task(phase)) {
+                     end(*workers_.at(phase.machine), *task, "stopped", true);
                  }
-                 end(*found->second, entry->second, "stopped", true);
              });
 }
 
+World::Running* World::find_task(const TaskPhase& phase) {
+    auto worker = workers_.find(phase.machine);
+    if (worker == workers_.end() || worker->second->session != phase.session) {
+        return nullptr;
+    }
+    auto task = worker->second->tasks.find(phase.key);
+    bool over = task == worker->second->tasks.end() || task->second.version != phase.version;
+    return over ? nullptr : &task->second;
+}
+
 void World::image_ready(const std::string& machine, const std::string& job, std::uint32_t task,
                         std::uint32_t attempt) {
     Worker& worker = *workers_.at(machine);
@@ -343,17 +347,11 @@
     }
     std::uint64_t version = running_task.version;
     schedule(now_ + to_ms(kGangWaitSeconds),
-             [this, machine, job, task, attempt, version, session = worker.session] {
-                 auto found = workers_.find(machine);
-                 if (found == workers_.end() || found->second->session != session) {
-                     return;
-                 }
-                 auto entry = found->second->tasks.find({job, task, attempt});
-                 if (entry == found->second->tasks.end() || entry->second.version != version ||
-                     entry->second.state != TaskState::waiting) {
-                     return;
+             [this, phase = TaskPhase{machine, worker.session, {job, task, attempt}, version}] {
+                 Running* waiting = find_task(phase);
+                 if (waiting && waiting->state == TaskState::waiting) {
+                     end(*workers_.at(phase.machine), *waiting, "alone", false);
                  }
-                 end(*found->second, entry->second, "alone", false);
              });
 }
 
@@ -372,25 +370,25 @@
         maybe_end_replica(worker, running_task);
         return;
     }
-    auto key = std::tuple{running_task.job, running_task.task, running_task.attempt};
+    TaskPhase phase{worker.name,
+                    worker.session,
+                    {running_task.job, running_task.task, running_task.attempt},
+                    version};
     if (now_ + left < active_.cancellation_at_end && chance(0.3)) {
         ++cancelled_at_end;
         schedule(now_ + std::max<Ms>(0, left + random_integer(-300, 700)),
                  [this, id = running_task.job] { cancel(id); });
     }
-    schedule(now_ + left, [this, name = worker.name, key, version, session = worker.session] {
-        auto found = workers_.find(name);
-        if (found == workers_.end() || found->second->session != session) {
-            return;
-        }
-        auto entry = found->second->tasks.find(key);
-        if (entry == found->second->tasks.end() || entry->second.version != version) {
+    schedule(now_ + left, [this, phase] {
+        const auto& key = phase.key;
+        Running* completed = find_task(phase);
+        if (!completed) {
             return;
         }
         Job& job = *jobs_.at(std::get<0>(key));
         if (!job.spec.gang()) {
             job.done[std::get<1>(key)] = true;
-            end(*found->second, entry->second, "done", false);
+            end(*workers_.at(phase.machine), *completed, "done", false);
             return;
         }
         // All tasks of a gang complete together, or none if one has already stopped.
--- a/tests/standin/world.hpp
+++ b/tests/standin/world.hpp
@@ -281,6 +281,15 @@
     void execute_run(Worker& worker, const WorkerCommand& command);
     void execute_stop(Worker& worker, const WorkerCommand& command);
     void hasten_heartbeat(Worker& worker);
+    // A phase of an attempt on a machine, to which a later event refers.
+    struct TaskPhase {
+        std::string machine;
+        std::uint64_t session = 0;                                  // of the worker
+        std::tuple<std::string, std::uint32_t, std::uint32_t> key;  // job, task and attempt
+        std::uint64_t version = 0;
+    };
+    // Returns the attempt, or null if the phase is over.
+    Running* find_task(const TaskPhase& phase);
     void image_ready(const std::string& machine, const std::string& job, std::uint32_t task,
                      std::uint32_t attempt);
     void begin(Worker& worker, Running& running_task);
