Repeated starts: the recent runs are forgotten with time, not with the next run of their machine

RecentRuns kept the last runs of each machine until that machine got another one, so a leader's memory grew with every machine that it had ever used. One map for all machines now, in which old runs are forgotten first.

--- a/src/coordination/workers/direct_calls.cpp
+++ b/src/coordination/workers/direct_calls.cpp
@@ -94,8 +94,8 @@
     }
     if (response.status == WorkerCallStatus::conflict &&
         status.incarnation != machine.worker.incarnation) {
-        machine.worker.next_direct_call_at =
-            now;  // retry at once with the incarnation that it reports
+        // Retry at once with the incarnation that it reports.
+        machine.worker.next_direct_call_at = now;
     }
     // The status is newer than the call. If its counters are not above those known at that time,
     // they have started anew.
--- a/src/coordination/workers/recent_runs.cpp
+++ b/src/coordination/workers/recent_runs.cpp
@@ -1,27 +1,35 @@
 #include "coordination/workers/recent_runs.hpp"
 
-#include <algorithm>
+#include <utility>
 
 #include "coordination/workers/response_validity.hpp"
 
 namespace walkford {
 
 void RecentRuns::record(Ms now, Id machine, const WorkerCommand& run, bool after_clear) {
-    std::deque<Run>& runs = runs_[machine];
-    while (!runs.empty() && runs.front().valid_until < now) {
-        runs.pop_front();
+    forget_old(now);
+    Attempt attempt{machine, run.job, run.task, run.attempt};
+    runs_[attempt] = {now + kResponseValidFor, after_clear};
+    order_.push_back(std::move(attempt));
+}
+
+// An attempt that was recorded again since is valid for longer and stands in the order once more.
+void RecentRuns::forget_old(Ms now) {
+    while (!order_.empty()) {
+        auto oldest = runs_.find(order_.front());
+        if (oldest != runs_.end() && oldest->second.valid_until >= now) {
+            return;
+        }
+        if (oldest != runs_.end()) {
+            runs_.erase(oldest);
+        }
+        order_.pop_front();
     }
-    runs.push_back({run.job, run.task, run.attempt, now + kResponseValidFor, after_clear});
 }
 
 const RecentRuns::Run* RecentRuns::find(Ms now, Id machine, const ReportedTask& reported) const {
-    auto runs = runs_.find(machine);
-    if (runs == runs_.end()) {
-        return nullptr;
-    }
-    auto found = std::find_if(runs->second.rbegin(), runs->second.rend(),
-                              [&](const Run& run) { return run.is_of(reported); });
-    return found == runs->second.rend() || found->valid_until < now ? nullptr : &*found;
+    auto run = runs_.find({machine, reported.job, reported.task, reported.attempt});
+    return run == runs_.end() || run->second.valid_until < now ? nullptr : &run->second;
 }
 
 bool RecentRuns::copy_may_arrive(Ms now, Id machine, const ReportedTask& reported) const {
--- a/src/coordination/workers/recent_runs.hpp
+++ b/src/coordination/workers/recent_runs.hpp
@@ -1,6 +1,7 @@
 // The attempts that workers were commanded to run a short time ago.
 #pragma once
 
+#include <compare>
 #include <deque>
 #include <map>
 #include <string>
@@ -28,19 +29,23 @@
     bool clearing_copy_may_arrive(Ms now, Id machine, const ReportedTask& reported) const;
 
   private:
-    struct Run {
+    // Identifies an attempt on a machine.
+    struct Attempt {
+        Id machine = kNone;
         std::string job;
         std::uint32_t task = 0;
         std::uint64_t attempt = 0;
+        auto operator<=>(const Attempt&) const = default;
+    };
+    struct Run {
         Ms valid_until = 0;
         bool after_clear = false;
-        bool is_of(const ReportedTask& reported) const {
-            return task == reported.task && attempt == reported.attempt && job == reported.job;
-        }
     };
+    void forget_old(Ms now);
     const Run* find(Ms now, Id machine, const ReportedTask& reported) const;
 
-    std::map<Id, std::deque<Run>> runs_;  // by machine, the oldest first
+    std::map<Attempt, Run> runs_;
+    std::deque<Attempt> order_;  // in which they were recorded
 };
 
 }  // namespace walkford
--- a/src/coordination/workers/worker_manager.cpp
+++ b/src/coordination/workers/worker_manager.cpp
@@ -51,7 +51,7 @@
     }
     if (status_handler_.apply(now, machine_id, status, StatusSource::heartbeat) ==
         StatusResult::stale) {
-        answer_stale_heartbeat(now, machine, heartbeat.request);
+        answer_stale_heartbeat(now, machine_id, heartbeat.request);
         return;
     }
     machine.worker.last_heartbeat = now;
@@ -61,7 +61,8 @@
 // A delayed duplicate is answered too. The worker may receive this response and count its lease
 // from it, so the renewal is recorded. If no direct call settles for longer than a lease whether it
 // is a duplicate, the lease must be allowed to expire: the worker may have lost its tasks.
-void WorkerManager::answer_stale_heartbeat(Ms now, Machine& machine, RequestId request) {
+void WorkerManager::answer_stale_heartbeat(Ms now, Id machine_id, RequestId request) {
+    Machine& machine = context_.cluster.machines[machine_id];
     Ms& suspect_since = machine.worker.counters_suspect_since;
     if (machine.address.empty()) {  // no call can tell
         responder_.renew_lease(now, machine, request);
@@ -70,7 +71,7 @@
     if (suspect_since < 0) {
         suspect_since = now;
     }
-    direct_calls_.check_counters(now, context_.cluster.find_machine(machine.name));
+    direct_calls_.check_counters(now, machine_id);
     if (now > suspect_since + to_ms(context_.controller.platform_settings.lease_s)) {
         responder_.refuse(request);
     } else {
--- a/src/coordination/workers/worker_manager.hpp
+++ b/src/coordination/workers/worker_manager.hpp
@@ -42,7 +42,7 @@
 
   private:
     Id find_or_add_machine(Ms now, const WorkerStatus& status);
-    void answer_stale_heartbeat(Ms now, Machine& machine, RequestId request);
+    void answer_stale_heartbeat(Ms now, Id machine_id, RequestId request);
     void expire_lease(Ms now, Id machine_id);
     void stop_before_reclaim(Ms now, const Machine& machine);
 
