Log: a message that can't be read is named, and its line is rate limited

Now each gives one line in 10 s that names the worker or the request, and the field, like the entries of lists.

--- a/src/protocol/cloud_codec.cpp
+++ b/src/protocol/cloud_codec.cpp
@@ -1,6 +1,4 @@
 // Encodes requests to the cloud and decodes its responses.
-#include <spdlog/spdlog.h>
-
 #include "bookkeeping/unreadable_log.hpp"
 #include "protocol/field_names.hpp"
 #include "protocol/json_fields.hpp"
@@ -115,12 +113,10 @@
     if (state == fields::kMachineFailed) {
         return CloudMachineState::failed;
     }
-    if (state != fields::kMachineRunning) {
-        spdlog::warn(
-            "cloud reported an unknown machine status '{}'; treating the machine as running",
-            state);
+    if (state == fields::kMachineRunning) {
+        return CloudMachineState::running;
     }
-    return CloudMachineState::running;
+    throw DecodeError::invalid(fields::kMachineState);
 }
 
 // Reads a field without which the machine can be used all the same.
@@ -249,8 +245,7 @@
         }
         decode_body(*document, request.operation, names, response);
     } catch (const DecodeError& error) {
-        spdlog::warn("cannot decode a response of the cloud: {}; treating it as no response",
-                     error.what());
+        log_unreadable("responses of the cloud", encode(request).path, error.what());
         return no_response(request.call);
     }
     return response;
--- a/src/protocol/store_codec.cpp
+++ b/src/protocol/store_codec.cpp
@@ -1,6 +1,4 @@
 // Encodes requests to the store and decodes its responses.
-#include <spdlog/spdlog.h>
-
 #include "bookkeeping/unreadable_log.hpp"
 #include "protocol/field_names.hpp"
 #include "protocol/json_fields.hpp"
@@ -20,6 +18,7 @@
                                     InvalidText::replace};
 
 constexpr const char* kListOfStore = "list of the store";
+constexpr const char* kResponsesOfStore = "responses of the store";
 
 Json encode_write(const Write& write) {
     if (!write.value) {
@@ -247,9 +246,7 @@
     if (!document || !document->is_object()) {
         // The request may have been executed although its response cannot be decoded.
         if (code == 200) {
-            spdlog::warn(
-                "cannot decode a response of the store: not a MessagePack map; treating it as no "
-                "response");
+            log_unreadable(kResponsesOfStore, encode(request).path, "not a MessagePack map");
             response.status = StoreStatus::no_response;
         }
         return response;
@@ -260,8 +257,7 @@
             decode_result(*document, request.operation, response);
         }
     } catch (const DecodeError& error) {
-        spdlog::warn("cannot decode a response of the store: {}; treating it as no response",
-                     error.what());
+        log_unreadable(kResponsesOfStore, encode(request).path, error.what());
         mark_undecodable(response);
     }
     return response;
--- a/src/protocol/wire.cpp
+++ b/src/protocol/wire.cpp
@@ -31,7 +31,7 @@
     if (!document) {
         return not_messagepack();
     }
-    return Input{HeartbeatRequest{request, decode_worker_status(*document)}};
+    return Input{HeartbeatRequest{request, decode_logged_status(*document)}};
 }
 
 ParsedRequest parse_submission(RequestId request, Method method, std::string_view body) {
--- a/src/protocol/wire_requests.hpp
+++ b/src/protocol/wire_requests.hpp
@@ -10,5 +10,7 @@
 SubmitRequest decode_submission(RequestId request, const Json& body);
 // Decodes the status that a worker reports in a heartbeat or in the response to commands.
 WorkerStatus decode_worker_status(const Json& body);
+// The same; logs the worker and the field of a status that can't be decoded.
+WorkerStatus decode_logged_status(const Json& body);
 
 }  // namespace walkford::protocol
--- a/src/protocol/worker_codec.cpp
+++ b/src/protocol/worker_codec.cpp
@@ -1,6 +1,4 @@
 // Decodes the status that workers report and encodes the commands to them.
-#include <spdlog/spdlog.h>
-
 #include <charconv>
 #include <optional>
 
@@ -57,6 +55,7 @@
 }
 
 constexpr const char* kTaskList = "task list of a worker";
+constexpr const char* kReports = "reports of workers";
 
 // Reads a field without which the task is known all the same.
 std::string text_or_empty(const Json& entry, const char* field, const std::string& described) {
@@ -104,17 +103,22 @@
     }
 }
 
+std::string name_of_worker(const Json& body) {
+    bool named =
+        body.is_object() && body.contains(fields::kMachine) && body[fields::kMachine].is_string();
+    return named ? body[fields::kMachine].get<std::string>() : "a worker without a name";
+}
+
 // Returns nothing if the body cannot be decoded.
 std::optional<WorkerStatus> try_decode_worker_status(std::string_view body) {
     auto document = unpack(body);
     if (!document) {
-        spdlog::warn("dropping the response of a worker: not a MessagePack value of UTF-8 text");
+        log_unreadable(kReports, "a response", "not a MessagePack value of UTF-8 text");
         return std::nullopt;
     }
     try {
-        return decode_worker_status(*document);
-    } catch (const DecodeError& error) {
-        spdlog::warn("dropping the response of a worker: {}", error.what());
+        return decode_logged_status(*document);
+    } catch (const DecodeError&) {
         return std::nullopt;
     }
 }
@@ -182,6 +186,15 @@
     return status;
 }
 
+WorkerStatus decode_logged_status(const Json& body) {
+    try {
+        return decode_worker_status(body);
+    } catch (const DecodeError& error) {
+        log_unreadable(kReports, name_of_worker(body), error.what());
+        throw;
+    }
+}
+
 HttpResponse encode(const HeartbeatResponse& response) {
     HttpResponse reply;
     reply.code = response.code;
--- a/tests/unreadable_entries_test.cpp
+++ b/tests/unreadable_entries_test.cpp
@@ -269,6 +269,22 @@
     EXPECT_NE(log.text().find("host-000231 j-1/1: bad status"), std::string::npos) << log.text();
 }
 
+// Guards against a message that is dropped or refused without a trace.
+TEST(UnreadableEntries, ALogLineNamesTheMessageThatCannotBeRead) {
+    LogCapture log;
+    Json heartbeat = sample_heartbeat();
+    heartbeat["tick"] = "x";
+    decode_heartbeat(heartbeat);
+    decode_store(StoreOperation::list, Json{{"rows", 5}});
+    Names names;
+    decode_cloud(CloudOperation::list, Json{{"walkers", 5}}, names);
+    for (const char* line : {"reports of workers: host-000231: bad tick",
+                             "responses of the store: /keys?prefix=", ": bad rows",
+                             "responses of the cloud: /machines?", ": bad walkers"}) {
+        EXPECT_NE(log.text().find(line), std::string::npos) << line << "\n" << log.text();
+    }
+}
+
 // Guards against an attempt that is taken for another one: attempts are integers below 2^64.
 TEST(UnreadableEntries, AttemptsAreNotTruncated) {
     Json heartbeat = heartbeat_with_three_tasks();
