Tests: one set-up for a leader that inherits a task

Two tests of RepeatedRun spelled out the same stored job, placement and registry. They share elect_with_inherited_task() now; the second one gets a machine more, which it doesn't look at.

--- a/tests/repeated_run_test.cpp
+++ b/tests/repeated_run_test.cpp
@@ -114,22 +114,28 @@
     EXPECT_NE(harness.cluster().jobs[harness.cluster().find_job("j-1")].assigned, 2U);
 }
 
+// Starts a leader that finds, of an earlier one, two machines in the registry and the task of j-1
+// on the first of them.
+void elect_with_inherited_task(LeaderHarness& harness) {
+    Names& names = harness.context->names;
+    StoreReplica& replica = harness.context->replica;
+    JobSpec spec = harness.make_job_spec("j-1", 4);
+    replica.apply({keys::job("j-1"), encode_job({spec, false}, names), 8});
+    replica.apply(
+        {keys::placement_record("j-1", 0), encode_placement_record({{1, false, "host-1"}}), 9});
+    RegistryRecord registry;
+    registry.machines = {{"host-1", 0, 0, false, false, false},
+                         {"host-2", 0, 0, false, false, false}};
+    replica.apply({keys::kRegistry, encode_registry(registry, names), 5});
+    harness.elect(50);
+}
+
 // The next leader receives a copy of a report in which the task has exited. The attempt was started
 // again since, in a later incarnation of the worker.
 TEST(RepeatedRun, AnExitUnderAnOlderTokenDoesNotMoveATask) {
     for (const char* cause : {"error", "no_room", "stopped", "busy", "unknown"}) {
         LeaderHarness harness;
-        harness.context->replica.apply(
-            {keys::job("j-1"),
-             encode_job({harness.make_job_spec("j-1", 4), false}, harness.context->names), 8});
-        harness.context->replica.apply(
-            {keys::placement_record("j-1", 0), encode_placement_record({{1, false, "host-1"}}), 9});
-        RegistryRecord registry;
-        registry.machines = {{"host-1", 0, 0, false, false, false},
-                             {"host-2", 0, 0, false, false, false}};
-        harness.context->replica.apply(
-            {keys::kRegistry, encode_registry(registry, harness.context->names), 5});
-        harness.elect(50);
+        elect_with_inherited_task(harness);
         harness.heartbeat("host-2");
         harness.heartbeat("host-1", {reported("j-1", 1, TaskState::exited, cause)}, 40);
         harness.advance_time(500);
@@ -145,16 +151,7 @@
 // A completed task keeps its result: it need not wait for a report under the new leader's token.
 TEST(RepeatedRun, ACompletionUnderAnOlderTokenCounts) {
     LeaderHarness harness;
-    harness.context->replica.apply(
-        {keys::job("j-1"),
-         encode_job({harness.make_job_spec("j-1", 4), false}, harness.context->names), 8});
-    harness.context->replica.apply(
-        {keys::placement_record("j-1", 0), encode_placement_record({{1, false, "host-1"}}), 9});
-    RegistryRecord registry;
-    registry.machines = {{"host-1", 0, 0, false, false, false}};
-    harness.context->replica.apply(
-        {keys::kRegistry, encode_registry(registry, harness.context->names), 5});
-    harness.elect(50);
+    elect_with_inherited_task(harness);
     harness.heartbeat("host-1", {reported("j-1", 1, TaskState::exited, "done")}, 40);
     EXPECT_EQ(harness.cluster().jobs[0].done, 1U);
 }
